--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,286 @@
+//! Hosts controllers: reads records straight into calls, writes answers straight as records.
+
+use crate::codec::{Fault, Fields, Reply};
+use crate::info::{self, Stated};
+use saltdrum::Controller;
+use saltdrum::port::*;
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+struct Instance {
+    controller: Controller,
+    report: Vec<String>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    reply: Reply,
+}
+
+/// Writes one instance's actions into the reply.
+struct Writer<'a> {
+    reply: &'a mut Reply,
+    id: u32,
+}
+
+impl Acts for Writer<'_> {
+    fn dispatch(&mut self, inv: InvId, invoker: InvokerId, time_out: Tenths) {
+        self.reply.record(1, self.id).put(&inv.to_le_bytes()).put(&invoker.to_le_bytes()).time(time_out);
+    }
+    fn throttle(&mut self, inv: InvId, come_back: Tenths) {
+        self.reply.record(2, self.id).put(&inv.to_le_bytes()).time(come_back);
+    }
+    fn error(&mut self, inv: InvId) {
+        self.reply.record(3, self.id).put(&inv.to_le_bytes());
+    }
+    fn cancel(&mut self, inv: InvId, hop: u8) {
+        self.reply.record(4, self.id).put(&inv.to_le_bytes()).put(&[hop]);
+    }
+    fn hold(&mut self, invoker: InvokerId, function: FnId, count: u8) {
+        let record = self.reply.record(13, self.id);
+        record.put(&function.to_le_bytes()).put(&[count]).put(&invoker.to_le_bytes());
+    }
+    fn unload(&mut self, invoker: InvokerId, function: FnId) {
+        self.reply.record(14, self.id).put(&invoker.to_le_bytes()).put(&function.to_le_bytes());
+    }
+    fn probe(&mut self, invoker: InvokerId) {
+        self.reply.record(6, self.id).put(&invoker.to_le_bytes());
+    }
+    fn wake(&mut self, at: Tenths, token: u64) {
+        self.reply.record(5, self.id).time(at).put(&token.to_le_bytes());
+    }
+    fn note(&mut self, text: &str) {
+        self.reply.record(9, self.id).text(text);
+    }
+}
+
+impl Host {
+    /// Handles one frame, header included, and gives the reply frame.
+    pub fn frame(&mut self, frame: &[u8]) -> Result<Vec<u8>, Fault> {
+        let mut f = Fields::new(frame, 0);
+        let records = f.u32("record count")?;
+        f.u32("frame length")?;
+        let now = f.time("clock")?;
+        for n in 0..records {
+            let at = f.at();
+            self.record(&mut f, now).map_err(|e| format!("record {n} at byte {at}: {e}"))?;
+        }
+        if f.at() < frame.len() {
+            return Err(format!("byte {}: {} bytes after the last record", f.at(), frame.len() - f.at()));
+        }
+        Ok(self.reply.finish())
+    }
+
+    fn record(&mut self, f: &mut Fields, now: Tenths) -> Result<(), Fault> {
+        let code = f.u8("event code")?;
+        if !(1..=11).contains(&code) {
+            return Err(format!("unknown event code {code}"));
+        }
+        let id = f.u32("controller_id")?;
+        if code == 11 {
+            let seed = f.u64("seed")?;
+            let n = f.u32("length of info")?;
+            let Stated { deployment, report } = info::read(f.take(n as usize, "info")?)?;
+            let controller = self.guard(id, |w| Controller::new(now, deployment, seed, w));
+            if let Some(controller) = controller {
+                self.instances.insert(id, Instance { controller, report });
+            }
+            return Ok(());
+        }
+        let mut instance = self.instances.remove(&id).ok_or_else(|| format!("unknown instance {id}"))?;
+        if code == 1 {
+            return Ok(());
+        }
+        let sound = self.told(code, f, now, id, &mut instance)?;
+        if sound {
+            self.instances.insert(id, instance);
+        }
+        Ok(())
+    }
+
+    /// False when the controller panicked: its state is not to be trusted any more.
+    fn told(
+        &mut self,
+        code: u8,
+        f: &mut Fields,
+        now: Tenths,
+        id: u32,
+        instance: &mut Instance,
+    ) -> Result<bool, Fault> {
+        let Instance { controller: c, report } = instance;
+        let done = match code {
+            2 => {
+                let token = f.u64("cookie")?;
+                self.guard(id, |w| c.woken(now, token, w))
+            }
+            3 => {
+                let inv = f.u32("xid")?;
+                self.guard(id, |w| c.left(now, inv, w))
+            }
+            4 => {
+                let form = f.u8("form")?;
+                f.u32("seq_no")?;
+                let entries = read_entries(f)?;
+                match form {
+                    0 | 3 => self.guard(id, |w| c.listed(now, true, &entries, w)),
+                    1 => self.guard(id, |w| c.listed(now, false, &entries, w)),
+                    2 => Some(()),
+                    _ => return Err(format!("unknown list form {form}")),
+                }
+            }
+            // No peers and no streams at the deployments served; both are read past.
+            5 => {
+                f.u32("src_peer")?;
+                let n = f.u16("length of octets")?;
+                f.take(n.into(), "octets")?;
+                Some(())
+            }
+            6 => {
+                f.take(17, "Established")?;
+                Some(())
+            }
+            7 => {
+                let answer = read_answer(f, report)?;
+                self.guard(id, |w| c.answered(now, answer, w))
+            }
+            8 => {
+                let took = f.time("time_taken_ms")?;
+                let invoker = f.u32("invoker")?;
+                let ok = outcome(f.u8("result")?)? == Outcome::Succeeded;
+                let report = read_report(f, report)?;
+                self.guard(id, |w| c.probed(now, invoker, ok, took, report, w))
+            }
+            9 => {
+                let inv = read_invocation(f, c.trigger_types())?;
+                self.guard(id, |w| c.invoked(now, inv, w))
+            }
+            _ => {
+                let answer = read_hold(f)?;
+                self.guard(id, |w| c.held(now, answer, w))
+            }
+        };
+        Ok(done.is_some())
+    }
+
+    fn guard<T>(&mut self, id: u32, call: impl FnOnce(&mut Writer) -> T) -> Option<T> {
+        let mut writer = Writer { reply: &mut self.reply, id };
+        match catch_unwind(AssertUnwindSafe(|| call(&mut writer))) {
+            Ok(done) => Some(done),
+            Err(panic) => {
+                let text = panic.downcast_ref::<String>().map(String::as_str);
+                let text = text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+                self.reply.record(10, id).text(text);
+                None
+            }
+        }
+    }
+}
+
+fn outcome(code: u8) -> Result<Outcome, Fault> {
+    Ok(match code {
+        0 => Outcome::Succeeded,
+        1 => Outcome::Miss,
+        249 => Outcome::NotSent,
+        250 => Outcome::Cancelled,
+        251 => Outcome::Reset,
+        252 => Outcome::NoConnection,
+        253 => Outcome::TimedOut,
+        254 => Outcome::Full,
+        255 => Outcome::Errored,
+        _ => return Err(format!("unknown outcome {code}")),
+    })
+}
+
+fn read_entries(f: &mut Fields) -> Result<Vec<Listed>, Fault> {
+    let n = f.u32("count of nodes_list")?;
+    let mut entries = Vec::new();
+    for _ in 0..n {
+        let invoker = f.u32("invoker")?;
+        let zone = f.u8("dc")?;
+        let kind = f.u16("machine")?;
+        let cell = f.u16("pack")?;
+        let life = match f.u8("lifecycle")? {
+            0 => Life::Gone,
+            1 => Life::Ready,
+            2 => Life::Draining,
+            code => return Err(format!("unknown lifecycle {code}")),
+        };
+        let size = f64::from(f.f32("nominal")?);
+        let started = Some(f.time("start_time_ms")?).filter(|at| *at > 0);
+        entries.push(Listed { invoker, zone, kind, cell, life, size, started });
+    }
+    Ok(entries)
+}
+
+fn read_report(f: &mut Fields, names: &[String]) -> Result<Report, Fault> {
+    let values = f.values()?;
+    let named = |name: &str| {
+        let i = names.iter().position(|n| n == name)?;
+        values.get(i).map(|v| f64::from(*v)).filter(|v| v.is_finite())
+    };
+    Ok(Report { util: named("util"), queue: named("queue") })
+}
+
+fn read_answer(f: &mut Fields, report: &[String]) -> Result<Answer, Fault> {
+    let inv = f.u32("xid")?;
+    let invoker = f.u32("invoker")?;
+    let finished = f.u8("no_more")? != 0;
+    let remark = f.u8("remark")?;
+    let hop = f.u8("hop")?;
+    let outcome = outcome(f.u8("result")?)?;
+    let took = f.time("time_taken_ms")?;
+    let found = match remark % 8 {
+        1 => Some(Found::Warm),
+        2 => Some(Found::BeganLoad),
+        3 => Some(Found::JoinedLoad),
+        4 => Some(Found::LoadFailed),
+        _ => None,
+    };
+    let tells = matches!(outcome, Outcome::Succeeded | Outcome::Full);
+    let crowd = Some(remark / 8).filter(|n| tells && *n > 0);
+    Ok(Answer { inv, invoker, hop, finished, outcome, found, crowd, took, report: read_report(f, report)? })
+}
+
+fn read_invocation(f: &mut Fields, types: usize) -> Result<Invocation, Fault> {
+    let id = f.u32("xid")?;
+    let trigger = usize::from(f.u16("lane")?);
+    if trigger >= types {
+        return Err(format!("lane {trigger}: only {types} classes are stated"));
+    }
+    let tenant = f.u32("tenant")? as usize;
+    let function = f.u64("routine")?;
+    let expires = f.time("expires_ms")?;
+    let hint = f.f64("predicted_ms")?;
+    let memory = f64::from(f.f32("size_mb")?);
+    let lanes = f64::from(f.f32("per_copy")?);
+    let load = f64::from(f.f32("bringup_ms")?);
+    let options = f.u8("options")?;
+    let usable = |ms: f64| ms.is_finite() && ms > 0.0;
+    Ok(Invocation {
+        id,
+        trigger,
+        tenant,
+        function,
+        expires,
+        work_hint: Some(hint).filter(|ms| options & 1 != 0 && usable(*ms)).map(crate::codec::tenths),
+        memory: if usable(memory) { memory } else { 0.0 },
+        lanes: if usable(lanes) { lanes.max(1.0) } else { 1.0 },
+        load_hint: Some(load).filter(|ms| usable(*ms)).map(crate::codec::tenths),
+    })
+}
+
+fn read_hold(f: &mut Fields) -> Result<HoldAnswer, Fault> {
+    let took = f.time("time_taken_ms")?;
+    let standing = f.u8("count")?;
+    let outcome = match outcome(f.u8("result")?)? {
+        Outcome::Succeeded => HoldOutcome::Standing,
+        Outcome::Full => HoldOutcome::NoRoom,
+        Outcome::Errored | Outcome::Miss => HoldOutcome::LoadFailed,
+        Outcome::TimedOut => HoldOutcome::TimedOut,
+        _ => HoldOutcome::Unreachable,
+    };
+    let function = f.u64("routine")?;
+    let invoker = f.u32("invoker")?;
+    Ok(HoldAnswer { invoker, function, outcome, standing, took })
+}
--- /dev/null
+++ b/crates/wirehost/src/info.rs
@@ -0,0 +1,113 @@
+//! The deployment as the first message of an instance states it.
+
+use crate::codec::{Fault, tenths};
+use saltdrum::port::*;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+pub struct Stated {
+    pub deployment: Deployment,
+    /// Names of the values in a load report, in order.
+    pub report: Vec<String>,
+}
+
+struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Pairs<'_> {
+    fn text(&self, path: &str) -> Result<&str, Fault> {
+        self.0.get(path).copied().ok_or_else(|| format!("setting {path}: missing"))
+    }
+
+    fn value<T: FromStr>(&self, path: &str) -> Result<T, Fault> {
+        let text = self.text(path)?;
+        text.parse().map_err(|_| format!("setting {path}: cannot read '{text}'"))
+    }
+
+    fn number(&self, path: &str) -> Result<f64, Fault> {
+        let n: f64 = self.value(path)?;
+        if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(format!("setting {path}: cannot be {n}")) }
+    }
+
+    fn time(&self, path: &str) -> Result<Tenths, Fault> {
+        self.number(path).map(tenths)
+    }
+
+    fn list(&self, path: &str) -> Vec<&str> {
+        let text = self.0.get(path).copied().unwrap_or_default();
+        text.split(',').map(str::trim).filter(|s| !s.is_empty()).collect()
+    }
+
+    fn word<T: Copy>(&self, path: &str, words: &[(&str, T)]) -> Result<T, Fault> {
+        let text = self.text(path)?;
+        let known = words.iter().find(|(word, _)| *word == text);
+        known.map(|(_, is)| *is).ok_or_else(|| format!("setting {path}: unknown word '{text}'"))
+    }
+
+    fn trigger_type(&self, i: usize) -> Result<TriggerType, Fault> {
+        let at = |key: &str| format!("classes.{i}.{key}");
+        let effects =
+            [("safe", Effect::Idempotent), ("keyed", Effect::Tokened), ("unsafe", Effect::NonIdempotent)];
+        let scopes = [("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)];
+        Ok(TriggerType {
+            objective: self.time(&at("aim_ms"))?,
+            client_timeout: self.time(&at("give_up_ms"))?,
+            effect: self.word(&at("effect"), &effects)?,
+            scope: self.word(&at("key_scope"), &scopes)?,
+            repeat_window: self.time(&at("repeat_window_ms"))?,
+            billed_value: self.number(&at("worth"))?,
+            late_share: self.number(&at("late_share"))?,
+        })
+    }
+}
+
+pub fn read(info: &[u8]) -> Result<Stated, Fault> {
+    let text =
+        std::str::from_utf8(info).map_err(|e| format!("settings: not UTF-8 at byte {}", e.valid_up_to()))?;
+    let mut pairs = Pairs(BTreeMap::new());
+    for (n, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+        let (path, value) = line.split_once('=').ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
+        pairs.0.insert(path.trim(), value.trim());
+    }
+    let p = &pairs;
+    // Counts are walked entry by entry, each of which must be there, so a false one ends at the first gap.
+    let types: usize = p.value("classes.count")?;
+    let tenants: usize = if p.0.contains_key("realms.count") { p.value("realms.count")? } else { 0 };
+    let trigger_types = (0..types).map(|i| p.trigger_type(i)).collect::<Result<Vec<_>, _>>()?;
+    if trigger_types.is_empty() {
+        return Err("setting classes.count: at least one is needed".into());
+    }
+    let quota = |i| p.number(&format!("realms.{i}.quota_rps")).map(|quota| Tenant { quota });
+    let memory = p.list("family_info.kind_memory_mb").into_iter().map(|text| {
+        text.parse().map_err(|_| format!("setting family_info.kind_memory_mb: cannot read '{text}'"))
+    });
+    let deployment = Deployment {
+        controllers: p.value::<u32>("balancers")?.max(1),
+        zone: p.value("zone")?,
+        trigger_types,
+        tenants: (0..tenants).map(quota).collect::<Result<_, _>>()?,
+        over_share_value: p.number("over_share_worth")?,
+        kind_memory: memory.collect::<Result<_, _>>()?,
+        dispatch_limit: p.value("bounds.try_limit")?,
+        parallel_dispatches: p.value("bounds.parallel_tries")?,
+        may_cancel: p.value("bounds.cancel")?,
+        may_probe: p.value("bounds.probing")?,
+        may_order: p.value("family_info.may_order")?,
+        misses: p.word("family_info.not_loaded", &[("miss", true), ("load", false)])?,
+        keep_alive: p.time("family_info.linger_idle_ms")?,
+        come_back_max: if p.value("bounds.retry_after")? {
+            Some(p.time("bounds.max_retry_after_ms")?)
+        } else {
+            None
+        },
+        tick: p.time("tick_ms")?,
+        order_window: p.time("family_info.load_window_ms")?,
+        orders_free: p.number("family_info.loads_anyway")?,
+        orders_share: p.number("family_info.load_share")?,
+        drain_grace: p.time("rules.drain_grace_ms")?,
+        cold_share: p.number("rules.cold_from")?,
+        cold_time: p.time("rules.cold_ms")?,
+        tip_factor: p.number("rules.overload_factor")?,
+        tip_window: p.time("rules.tip_after_ms")?,
+    };
+    Ok(Stated { deployment, report: p.list("reporting.fields").into_iter().map(String::from).collect() })
+}
