--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,6 +40,10 @@
 const SHUT_MOST: Tenths = 4 * SECOND;
 /// Share of recent dispatches that ended in errors from which an invoker counts as ill.
 const ERRORS_ILL: f64 = 0.4;
+/// An invoker at which a run takes this much longer than alone is jammed.
+const JAMMED: f64 = 1.5;
+/// Least billed work is turned away from this share of its objective on.
+const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.6;
 /// An answer must leave this long before the client timeout to arrive in time.
@@ -53,6 +57,7 @@
 struct Row {
     stated: TriggerType,
     run: f64,
+    seen: u32,
 }
 
 struct Dispatch {
@@ -70,6 +75,7 @@
 struct Inv {
     call: Invocation,
     out: Vec<Dispatch>,
+    arrived: Tenths,
     hops: u8,
     /// The first dispatch that may have run, when it was sent and where.
     may_have_run: Option<(Tenths, InvokerId)>,
@@ -148,6 +154,8 @@
     /// Work dispatched a tenth, smoothed.
     work_rate: f64,
     work_at: Tenths,
+    /// Calls a second by tenant, and when that was last right.
+    tenants: Vec<(f64, Tenths)>,
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -178,6 +186,12 @@
 }
 
 impl Invoker {
+    fn new(listed: Listed, now: Tenths) -> Self {
+        let (out, out_work, gap, slow, errors) = (0, 0.0, GAP_FLOOR, 1.0, 0.0);
+        let (heard, slow_at, shut_until, shut_for, cold_sent) = (now, now, 0, 0, VecDeque::new());
+        Self { listed, out, out_work, heard, gap, slow, slow_at, errors, shut_until, shut_for, cold_sent }
+    }
+
     fn slow(&self, now: Tenths) -> f64 {
         1.0 + (self.slow - 1.0) * decay(now.saturating_sub(self.slow_at), 10.0)
     }
@@ -185,10 +199,11 @@
 
 impl Controller {
     pub fn new(now: Tenths, stated: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS };
+        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, seen: 0 };
         let mut c = Self {
             now,
             rng: fastrand::Rng::with_seed(seed),
+            tenants: vec![(0.0, now); stated.tenants.len()],
             rows: stated.trigger_types.iter().map(row).collect(),
             stated,
             invokers: BTreeMap::new(),
@@ -221,20 +236,7 @@
             }
         }
         for l in entries {
-            let fresh = Invoker {
-                listed: *l,
-                out: 0,
-                out_work: 0.0,
-                heard: now,
-                gap: GAP_FLOOR,
-                slow: 1.0,
-                slow_at: now,
-                errors: 0.0,
-                shut_until: 0,
-                shut_for: 0,
-                cold_sent: VecDeque::new(),
-            };
-            let v = self.invokers.entry(l.invoker).or_insert(fresh);
+            let v = self.invokers.entry(l.invoker).or_insert_with(|| Invoker::new(*l, now));
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
             if restarted {
@@ -256,6 +258,9 @@
     pub fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
         self.now = now;
         self.taken.push_back(now);
+        if let Some((rate, at)) = self.tenants.get_mut(call.tenant) {
+            (*rate, *at) = (*rate * decay(now - *at, STEADY) + 1.0 / STEADY, now);
+        }
         let run = call.work_hint.map_or(self.rows[call.trigger].run, |h| h as f64);
         let f = self.functions.entry(call.function).or_insert_with(|| Function {
             trigger: call.trigger,
@@ -283,7 +288,15 @@
             p.off_since = p.off_since.map(|_| now);
         }
         let id = call.id;
-        let inv = Inv { call, out: Vec::new(), hops: 0, may_have_run: None, tried: Vec::new(), done: false };
+        let inv = Inv {
+            call,
+            out: Vec::new(),
+            arrived: now,
+            hops: 0,
+            may_have_run: None,
+            tried: Vec::new(),
+            done: false,
+        };
         self.invs.insert(id, inv);
         self.send(id, acts);
     }
@@ -377,9 +390,6 @@
         v.out += 1;
         v.out_work += f.run;
         v.cold_sent.push_back((self.now, row.run));
-        self.work_rate =
-            self.work_rate * decay(self.now - self.work_at, STEADY) + row.run / (STEADY * SECOND as f64);
-        self.work_at = self.now;
         let p = f.places.entry(w).or_default();
         p.out += 1;
         p.touched = self.now;
@@ -439,15 +449,21 @@
         match a.outcome {
             Outcome::Succeeded => {
                 v.errors *= 0.8;
+                // Only what was done counts: work sent in vain must not widen what cold invokers get (rule 4).
+                let row = &mut self.rows[trigger];
+                let faded = self.work_rate * decay(now - self.work_at, STEADY);
+                (self.work_rate, self.work_at) = (faded + row.run / (STEADY * SECOND as f64), now);
                 (v.shut_until, v.shut_for) = (0, 0);
                 let was_warm = a.found.map_or(d.warm, |found| found == Found::Warm);
                 if was_warm {
                     let ratio = (took / f.run.max(1.0)).min(20.0);
                     v.slow = v.slow(now) + 0.1 * (ratio - v.slow(now));
                     v.slow_at = now;
-                    f.run += 0.1 * (took.min(2.0 * f.run) - f.run);
-                    let row = &mut self.rows[trigger];
-                    row.run += 0.02 * (took.min(2.0 * row.run) - row.run);
+                    // Run times learned in a jam would make demand, and with it the pools, grow with the jam.
+                    let alone = took / v.slow(now).max(1.0);
+                    f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
+                    row.run += (alone - row.run) / (row.seen.min(100) + 1) as f64;
+                    row.seen += 1;
                 } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - f.run);
                 }
@@ -590,8 +606,31 @@
         COLD_MARGIN * self.stated.tip_factor * risen * share * window as f64 - sent
     }
 
+    /// An ill invoker whose shut time is over gets one invocation, whose answer decides.
+    fn well(&self, v: &Invoker) -> bool {
+        self.now >= v.shut_until && (v.shut_for == 0 || v.out == 0)
+    }
+
     fn open(&self, v: &Invoker, work: f64) -> bool {
-        v.listed.life == Life::Ready && self.now >= v.shut_until && self.cold_room(v) >= work
+        v.listed.life == Life::Ready && self.well(v) && self.cold_room(v) >= work
+    }
+
+    /// How long a wait at the best invoker is still worth it: less for what earns little, so that in an
+    /// overload the least billed value is turned away first and what is taken is answered in time.
+    fn patience(&self, inv: &Inv) -> f64 {
+        let row = &self.rows[inv.call.trigger].stated;
+        let most = self.rows.iter().map(|r| r.stated.billed_value).fold(0.0, f64::max);
+        let mut value = row.billed_value / most.max(1e-9);
+        if let (Some(t), Some(rate)) =
+            (self.stated.tenants.get(inv.call.tenant), self.tenants.get(inv.call.tenant))
+        {
+            let rate = rate.0 * decay(self.now - rate.1, STEADY) * f64::from(self.stated.controllers);
+            if rate > t.quota {
+                value *= self.stated.over_share_value;
+            }
+        }
+        let left = row.objective.saturating_sub(self.now - inv.arrived) as f64;
+        left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * value)
     }
 
     /// Earliest finish in the pool; along the order when all members are past their target load.
@@ -607,15 +646,13 @@
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
         let all_ill = 2 * shut > ready;
         let mut best: Vec<(u64, InvokerId, bool, bool)> = Vec::new();
+        let mut shortest = f64::INFINITY;
         let mut members = 0;
         let mut below_target = false;
         for w in &f.order {
             let v = &self.invokers[w];
             let cold = self.cold_room(v);
-            if cold < work
-                || (now < v.shut_until && !all_ill)
-                || inv.tried.contains(w)
-                || !self.may_send(inv, *w)
+            if cold < work || (!self.well(v) && !all_ill) || inv.tried.contains(w) || !self.may_send(inv, *w)
             {
                 continue;
             }
@@ -634,12 +671,17 @@
             };
             let run = f.run * v.slow(now) / self.risen(v);
             let cores = CORES * v.listed.size / size;
-            let finish = load + run * (1.0 + out / f.lanes) + v.out_work / cores;
+            let wait = run * (1.0 + out / f.lanes) + v.out_work / cores;
+            let finish = load + wait;
+            shortest = shortest.min(wait);
             below_target |= out < f.lanes && v.out_work < 2.0 * cores * f.run.max(work);
             let awaited = !warm && self.stated.misses && p.is_some_and(|p| p.ordered);
             best.push(((finish / MILLI as f64) as u64, *w, warm, awaited));
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
+        if shortest > self.patience(inv) && shortest > JAMMED * f.run && self.may_throttle(inv) {
+            return Choice::Nobody;
+        }
         best.retain(|b| b.0 == least);
         let (finish, invoker, warm, awaited) = best[self.rng.usize(..best.len())];
         if awaited {
@@ -851,12 +893,12 @@
             let Some(inv) = self.invs.get(&id) else { continue };
             let row = &self.rows[inv.call.trigger].stated;
             if self.stated.parallel_dispatches && row.effect != Effect::NonIdempotent {
-                if inv.out.len() < 2 && inv.hops < self.stated.dispatch_limit {
-                    if let Choice::Go { invoker, warm, finish } = self.pick(id)
-                        && invoker != w
-                    {
-                        self.dispatch(id, invoker, warm, finish, acts);
-                    }
+                if inv.out.len() < 2
+                    && inv.hops < self.stated.dispatch_limit
+                    && let Choice::Go { invoker, warm, finish } = self.pick(id)
+                    && invoker != w
+                {
+                    self.dispatch(id, invoker, warm, finish, acts);
                 }
                 continue;
             }
