--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,6 +26,10 @@
 const PLANNED_RATION: f64 = 0.6;
 /// A failed load is not repeated at the same place for this long.
 const LOAD_COOLDOWN: Tenths = 3 * SECOND;
+/// After a miss the place counts as lacking the function for this long, and an invocation that cannot order
+/// it there asks again this often.
+const LACKS: Tenths = 4 * SECOND;
+const ASK_AGAIN: Tenths = 50 * MILLI;
 /// Load time where none was told or seen, and run time before the first answer.
 const LOAD_GUESS: f64 = SECOND as f64;
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
@@ -42,6 +46,8 @@
 const ERRORS_ILL: f64 = 0.4;
 /// An invoker at which a run takes this much longer than alone is jammed.
 const JAMMED: f64 = 1.5;
+/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
+const TARGET: f64 = 4.0;
 /// Least billed work is turned away from this share of its objective on.
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
@@ -49,7 +55,7 @@
 /// An answer must leave this long before the client timeout to arrive in time.
 const LAST_CALL: Tenths = 10 * MILLI;
 
-type Next = Box<dyn FnOnce(&mut Controller, Answer, &mut dyn Acts)>;
+type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 type OnHold = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 type Later = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 
@@ -110,6 +116,7 @@
     placed: bool,
     off_since: Option<Tenths>,
     cooldown: Tenths,
+    lacks_until: Tenths,
     out: u32,
 }
 
@@ -132,8 +139,16 @@
 }
 
 enum Choice {
-    Go { invoker: InvokerId, warm: bool, finish: f64 },
+    /// `spread`: where a further copy would end it earlier still.
+    Go {
+        invoker: InvokerId,
+        warm: bool,
+        finish: f64,
+        spread: Option<InvokerId>,
+    },
     Await(InvokerId),
+    /// It was told lately that no copy is there, and a dispatch would bring none.
+    Order(InvokerId),
     Nobody,
 }
 
@@ -369,9 +384,21 @@
         if self.now + LAST_CALL >= inv.call.expires {
             return self.settle(id, acts);
         }
+        let (fid, expires) = (inv.call.function, inv.call.expires);
         match self.pick(id) {
-            Choice::Go { invoker, warm, finish } => self.dispatch(id, invoker, warm, finish, acts),
+            Choice::Go { invoker, warm, finish, spread } => {
+                if let Some(w) = spread {
+                    self.order_load(w, fid, 1, PLANNED_RATION, acts);
+                }
+                self.dispatch(id, invoker, warm, finish, acts)
+            }
             Choice::Await(w) => self.await_hold(id, w, acts),
+            Choice::Order(w) if self.order_load(w, fid, 1, 1.0, acts) => self.await_hold(id, w, acts),
+            // The ration or the pending cap is used up: it frees up with time, tries don't.
+            Choice::Order(_) => {
+                let at = (self.now + ASK_AGAIN).min(expires - LAST_CALL);
+                self.later(at, acts, move |c, acts| c.send(id, acts))
+            }
             Choice::Nobody => self.settle(id, acts),
         }
     }
@@ -404,7 +431,7 @@
             warm,
             work: f.run,
             cancelled: false,
-            next: Box::new(move |c, answer, acts| c.after(id, answer, acts)),
+            next: Box::new(move |c, acts| c.after(id, acts)),
         });
         inv.hops += 1;
         acts.dispatch(id, w, 0);
@@ -425,7 +452,7 @@
         inv.done |= a.finished;
         let (fid, trigger) = (inv.call.function, inv.call.trigger);
         self.learn(fid, trigger, &d, &a, acts);
-        (d.next)(self, a, acts);
+        (d.next)(self, acts);
     }
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
@@ -474,7 +501,7 @@
                 ill = v.errors > ERRORS_ILL;
             }
             Outcome::Miss => {
-                (p.warm, p.loading) = (false, None);
+                (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS);
             }
             Outcome::NoConnection | Outcome::Reset => ill = true,
             Outcome::Full => v.shut_until = v.shut_until.max(now + 100 * MILLI),
@@ -498,7 +525,7 @@
     }
 
     /// What follows a dispatch that has ended.
-    fn after(&mut self, id: InvId, a: Answer, acts: &mut dyn Acts) {
+    fn after(&mut self, id: InvId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id) else { return };
         if inv.done {
             return self.finish_inv(id);
@@ -506,10 +533,6 @@
         if !inv.out.is_empty() {
             return;
         }
-        let fid = inv.call.function;
-        if a.outcome == Outcome::Miss {
-            self.order_load(a.invoker, fid, 1, 1.0, acts);
-        }
         self.send(id, acts);
     }
 
@@ -661,6 +684,9 @@
             }
             members += 1;
             let p = f.places.get(w);
+            if self.stated.misses && p.is_some_and(|p| now < p.cooldown) {
+                continue;
+            }
             let out = p.map_or(0, |p| p.out) as f64;
             let warm = f.warm(*w, now, keep);
             let loading = p.and_then(|p| p.loading);
@@ -674,10 +700,16 @@
             let wait = run * (1.0 + out / f.lanes) + v.out_work / cores;
             let finish = load + wait;
             shortest = shortest.min(wait);
-            below_target |= out < f.lanes && v.out_work < 2.0 * cores * f.run.max(work);
+            below_target |= out < f.lanes && wait < TARGET * f.run;
             let awaited = !warm && self.stated.misses && p.is_some_and(|p| p.ordered);
             best.push(((finish / MILLI as f64) as u64, *w, warm, awaited));
         }
+        // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
+        let mut spread = None;
+        if self.stated.misses && best.iter().any(|b| b.2) {
+            spread = best.iter().min().filter(|b| !b.2 && !b.3).map(|b| b.1);
+            best.retain(|b| b.2 || b.3);
+        }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
         if shortest > self.patience(inv) && shortest > JAMMED * f.run && self.may_throttle(inv) {
             return Choice::Nobody;
@@ -687,7 +719,11 @@
         if awaited {
             Choice::Await(invoker)
         } else {
-            Choice::Go { invoker, warm, finish: (finish * MILLI) as f64 }
+            if self.stated.misses && !warm && f.places.get(&invoker).is_some_and(|p| now < p.lacks_until) {
+                Choice::Order(invoker)
+            } else {
+                Choice::Go { invoker, warm, finish: (finish * MILLI) as f64, spread }
+            }
         }
     }
 
@@ -848,6 +884,7 @@
         let p = f.places.entry(a.invoker).or_default();
         (p.ordered, p.loading) = (false, None);
         p.warm = a.outcome == HoldOutcome::Standing;
+        p.lacks_until = 0;
         if p.warm {
             p.touched = now - a.took;
             if a.took > f.load_seen as Tenths && a.took > 50 * MILLI {
@@ -895,7 +932,7 @@
             if self.stated.parallel_dispatches && row.effect != Effect::NonIdempotent {
                 if inv.out.len() < 2
                     && inv.hops < self.stated.dispatch_limit
-                    && let Choice::Go { invoker, warm, finish } = self.pick(id)
+                    && let Choice::Go { invoker, warm, finish, .. } = self.pick(id)
                     && invoker != w
                 {
                     self.dispatch(id, invoker, warm, finish, acts);
