--- a/src/decide.rs
+++ b/src/decide.rs
@@ -208,7 +208,7 @@
     }
 
     fn slow(&self, now: Tenths) -> f64 {
-        1.0 + (self.slow - 1.0) * decay(now.saturating_sub(self.slow_at), 10.0)
+        1.0 + (self.slow - 1.0) * decay(now.saturating_sub(self.slow_at), 3.0)
     }
 }
 
@@ -504,7 +504,10 @@
                 (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS);
             }
             Outcome::NoConnection | Outcome::Reset => ill = true,
-            Outcome::Full => v.shut_until = v.shut_until.max(now + 100 * MILLI),
+            Outcome::Full => {
+                (v.slow, v.slow_at) = (v.slow(now).max(3.0), now);
+                v.shut_until = v.shut_until.max(now + 100 * MILLI);
+            }
             _ => {}
         }
         if ill {
