--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,10 +44,12 @@
 const SHUT_MOST: Tenths = 4 * SECOND;
 /// Share of recent dispatches that ended in errors from which an invoker counts as ill.
 const ERRORS_ILL: f64 = 0.4;
-/// An invoker at which a run takes this much longer than alone is jammed.
+/// A fleet on which runs take this much longer than alone, on the mean, is jammed.
 const JAMMED: f64 = 1.5;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
 const TARGET: f64 = 4.0;
+/// What a tenant sends beyond its share waits this much less.
+const OVER_SHARE: f64 = 0.2;
 /// Least billed work is turned away from this share of its objective on.
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
@@ -64,6 +66,8 @@
     stated: TriggerType,
     run: f64,
     seen: u32,
+    /// Run time over the hint of work, where hints come.
+    pace: f64,
 }
 
 struct Dispatch {
@@ -74,6 +78,7 @@
     due: Tenths,
     warm: bool,
     work: f64,
+    usual: f64,
     cancelled: bool,
     next: Next,
 }
@@ -82,6 +87,7 @@
     call: Invocation,
     out: Vec<Dispatch>,
     arrived: Tenths,
+    over_share: bool,
     hops: u8,
     /// The first dispatch that may have run, when it was sent and where.
     may_have_run: Option<(Tenths, InvokerId)>,
@@ -169,7 +175,7 @@
     /// Work dispatched a tenth, smoothed.
     work_rate: f64,
     work_at: Tenths,
-    /// Calls a second by tenant, and when that was last right.
+    /// What is left of each tenant's share, and when that was last right.
     tenants: Vec<(f64, Tenths)>,
 }
 
@@ -183,6 +189,11 @@
     (-(dt as f64) / (span_s * SECOND as f64)).exp()
 }
 
+/// Run time of one invocation alone: by its hint, where it has one, else as its function's are.
+fn expected(call: &Invocation, f: &Function, row: &Row) -> f64 {
+    call.work_hint.map_or(f.run, |h| h as f64 * row.pace)
+}
+
 impl Function {
     fn load(&self) -> f64 {
         self.load_told.unwrap_or(if self.load_seen > 0.0 { self.load_seen } else { LOAD_GUESS })
@@ -214,11 +225,11 @@
 
 impl Controller {
     pub fn new(now: Tenths, stated: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, seen: 0 };
+        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, seen: 0, pace: 1.0 };
         let mut c = Self {
             now,
             rng: fastrand::Rng::with_seed(seed),
-            tenants: vec![(0.0, now); stated.tenants.len()],
+            tenants: stated.tenants.iter().map(|t| (t.quota / f64::from(stated.controllers), now)).collect(),
             rows: stated.trigger_types.iter().map(row).collect(),
             stated,
             invokers: BTreeMap::new(),
@@ -273,8 +284,16 @@
     pub fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
         self.now = now;
         self.taken.push_back(now);
-        if let Some((rate, at)) = self.tenants.get_mut(call.tenant) {
-            (*rate, *at) = (*rate * decay(now - *at, STEADY) + 1.0 / STEADY, now);
+        // A tenant's share is a bucket of two seconds; this controller fills its part of it.
+        let mut over_share = false;
+        if let (Some(t), Some((left, at))) =
+            (self.stated.tenants.get(call.tenant), self.tenants.get_mut(call.tenant))
+        {
+            let quota = t.quota / f64::from(self.stated.controllers);
+            *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(2.0 * quota);
+            *at = now;
+            over_share = *left < 1.0;
+            *left -= if over_share { 0.0 } else { 1.0 };
         }
         let run = call.work_hint.map_or(self.rows[call.trigger].run, |h| h as f64);
         let f = self.functions.entry(call.function).or_insert_with(|| Function {
@@ -307,6 +326,7 @@
             call,
             out: Vec::new(),
             arrived: now,
+            over_share,
             hops: 0,
             may_have_run: None,
             tried: Vec::new(),
@@ -415,6 +435,7 @@
             v.heard = self.now;
         }
         v.out += 1;
+        let run = expected(&inv.call, f, row);
         v.out_work += f.run;
         v.cold_sent.push_back((self.now, row.run));
         let p = f.places.entry(w).or_default();
@@ -429,7 +450,8 @@
             sent: self.now,
             due: self.now + finish as Tenths,
             warm,
-            work: f.run,
+            work: run,
+            usual: f.run,
             cancelled: false,
             next: Box::new(move |c, acts| c.after(id, acts)),
         });
@@ -450,19 +472,19 @@
             inv.tried.push(d.invoker);
         }
         inv.done |= a.finished;
-        let (fid, trigger) = (inv.call.function, inv.call.trigger);
-        self.learn(fid, trigger, &d, &a, acts);
+        let (fid, trigger, hint) = (inv.call.function, inv.call.trigger, inv.call.work_hint);
+        self.learn(fid, trigger, hint.map(|h| (h as f64).max(1.0)), &d, &a);
         (d.next)(self, acts);
     }
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
-    fn learn(&mut self, fid: FnId, trigger: usize, d: &Dispatch, a: &Answer, acts: &mut dyn Acts) {
+    fn learn(&mut self, fid: FnId, trigger: usize, hint: Option<f64>, d: &Dispatch, a: &Answer) {
         let now = self.now;
         let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&d.invoker)) else {
             return;
         };
         v.out -= 1;
-        v.out_work = (v.out_work - d.work).max(0.0);
+        v.out_work = (v.out_work - d.usual).max(0.0);
         let p = f.places.entry(d.invoker).or_default();
         p.out -= 1;
         let silent = matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent);
@@ -483,16 +505,19 @@
                 (v.shut_until, v.shut_for) = (0, 0);
                 let was_warm = a.found.map_or(d.warm, |found| found == Found::Warm);
                 if was_warm {
-                    let ratio = (took / f.run.max(1.0)).min(20.0);
+                    let ratio = (took / d.work.max(1.0)).min(10.0);
                     v.slow = v.slow(now) + 0.1 * (ratio - v.slow(now));
                     v.slow_at = now;
                     // Run times learned in a jam would make demand, and with it the pools, grow with the jam.
                     let alone = took / v.slow(now).max(1.0);
+                    if let Some(h) = hint {
+                        row.pace += (alone / h - row.pace) / (row.seen.min(100) + 1) as f64;
+                    }
                     f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
                     row.run += (alone - row.run) / (row.seen.min(100) + 1) as f64;
                     row.seen += 1;
                 } else if a.found == Some(Found::BeganLoad) {
-                    f.load_seen = f.load_seen.max(took - f.run);
+                    f.load_seen = f.load_seen.max(took - d.work);
                 }
                 (p.warm, p.loading) = (true, None);
             }
@@ -516,7 +541,6 @@
         if matches!(a.outcome, Outcome::Reset) {
             self.forget_copies(d.invoker);
         }
-        let _ = acts;
     }
 
     fn shut(&mut self, w: InvokerId) {
@@ -610,6 +634,13 @@
         if n > 0.0 { (sum / n).max(0.01) } else { 1.0 }
     }
 
+    /// How slow the fleet is on the whole: one jammed pool or a few ill invokers are no overload.
+    fn fleet_slow(&self) -> f64 {
+        let ready = self.invokers.values().filter(|v| v.listed.life == Life::Ready);
+        let (n, sum) = ready.fold((0.0, 0.0), |(n, sum), v| (n + 1.0, sum + v.slow(self.now)));
+        if n > 0.0 { sum / n } else { 1.0 }
+    }
+
     /// What part of its full capacity an invoker has at least, by the stated slowest rise.
     fn risen(&self, v: &Invoker) -> f64 {
         let Some(started) = v.listed.started else { return 1.0 };
@@ -646,17 +677,10 @@
     fn patience(&self, inv: &Inv) -> f64 {
         let row = &self.rows[inv.call.trigger].stated;
         let most = self.rows.iter().map(|r| r.stated.billed_value).fold(0.0, f64::max);
-        let mut value = row.billed_value / most.max(1e-9);
-        if let (Some(t), Some(rate)) =
-            (self.stated.tenants.get(inv.call.tenant), self.tenants.get(inv.call.tenant))
-        {
-            let rate = rate.0 * decay(self.now - rate.1, STEADY) * f64::from(self.stated.controllers);
-            if rate > t.quota {
-                value *= self.stated.over_share_value;
-            }
-        }
+        let value = row.billed_value / most.max(1e-9);
+        let share = if inv.over_share { OVER_SHARE } else { 1.0 };
         let left = row.objective.saturating_sub(self.now - inv.arrived) as f64;
-        left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * value)
+        share * left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * value)
     }
 
     /// Earliest finish in the pool; along the order when all members are past their target load.
@@ -666,7 +690,8 @@
         let inv = &self.invs[&id];
         let f = &self.functions[&fid];
         let (size, keep, now) = (self.mean_size(), self.stated.keep_alive, self.now);
-        let work = self.rows[inv.call.trigger].run;
+        let row = &self.rows[inv.call.trigger];
+        let (work, alone) = (row.run, expected(&inv.call, f, row));
         let ready = f.order.len();
         let shut = f.order.iter().filter(|w| self.now < self.invokers[w].shut_until).count();
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
@@ -698,12 +723,12 @@
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
                 None => f.load(),
             };
-            let run = f.run * v.slow(now) / self.risen(v);
-            let cores = CORES * v.listed.size / size;
-            let wait = run * (1.0 + out / f.lanes) + v.out_work / cores;
-            let finish = load + wait;
-            shortest = shortest.min(wait);
-            below_target |= out < f.lanes && wait < TARGET * f.run;
+            let slow = v.slow(now) / self.risen(v);
+            let queue = slow * f.run * out / f.lanes + v.out_work * size / (CORES * v.listed.size);
+            let usual = slow * f.run + queue;
+            let finish = load + slow * alone + queue;
+            shortest = shortest.min(usual);
+            below_target |= out < f.lanes && usual < TARGET * f.run;
             let awaited = !warm && self.stated.misses && p.is_some_and(|p| p.ordered);
             best.push(((finish / MILLI as f64) as u64, *w, warm, awaited));
         }
@@ -714,7 +739,7 @@
             best.retain(|b| b.2 || b.3);
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
-        if shortest > self.patience(inv) && shortest > JAMMED * f.run && self.may_throttle(inv) {
+        if shortest > self.patience(inv) && self.fleet_slow() > JAMMED && self.may_throttle(inv) {
             return Choice::Nobody;
         }
         best.retain(|b| b.0 == least);
