--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -116,15 +116,15 @@
             }
             3 => {
                 let inv = f.u32("xid")?;
-                self.guard(id, |w| c.left(now, inv, w))
+                self.guard(id, |_| c.left(now, inv))
             }
             4 => {
                 let form = f.u8("form")?;
                 f.u32("seq_no")?;
                 let entries = read_entries(f)?;
                 match form {
-                    0 | 3 => self.guard(id, |w| c.listed(now, true, &entries, w)),
-                    1 => self.guard(id, |w| c.listed(now, false, &entries, w)),
+                    0 | 3 => self.guard(id, |_| c.listed(now, true, &entries)),
+                    1 => self.guard(id, |_| c.listed(now, false, &entries)),
                     2 => Some(()),
                     _ => return Err(format!("unknown list form {form}")),
                 }
@@ -149,7 +149,7 @@
                 let invoker = f.u32("invoker")?;
                 let ok = outcome(f.u8("result")?)? == Outcome::Succeeded;
                 let report = read_report(f, report)?;
-                self.guard(id, |w| c.probed(now, invoker, ok, took, report, w))
+                self.guard(id, |_| c.probed(now, invoker, ok, took, report))
             }
             9 => {
                 let inv = read_invocation(f, c.trigger_types())?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,28 +1,28 @@
 //! All decisions of a controller, every table and every tuned value. The interface is in `port.rs`.
 //!
-//! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (the list of invokers),
-//! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `probed`, `woken`. Each takes the
-//! time and an `Acts` through which the controller acts before the call returns. Same calls, same actions.
-//! The ordinary path is `plan` (pools, each second), `order`, `pick`; `docs/design.md` tells where it is left.
+//! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (list of invokers),
+//! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `probed`, `woken`. Each takes
+//! the time and an `Acts` through which the controller acts before the call returns. Same calls, same actions.
+//! The ordinary path is `plan` (pools, each second), `order` and `pick`; `docs/design.md` tells what was added.
 
 use crate::port::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The allocator runs this often, and a pool member or a stale instance stays at least a dwell.
+/// The allocator runs this often, and a surplus member or a stale instance stays at least a dwell.
 const PLAN_EVERY: Tenths = SECOND;
 const DWELL: Tenths = 10 * SECOND;
 /// A function not called for this long loses its floor of one member.
 const FORGET: Tenths = 25 * SECOND;
-/// Pools are sized so that lanes are this full on average: calls come in bursts, a full lane queues.
+/// Pools are sized so that lanes are this full on average: calls come in bursts, and a full lane queues.
 const FILL: f64 = 0.5;
 /// Share of the fleet's memory that pools may claim; the rest is for work and for what others loaded.
 const POOL_MEMORY: f64 = 0.6;
-/// Call rates are smoothed over these spans: the short one sees a hot function, the long one is steady.
+/// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
 const QUICK: f64 = 2.0;
 const STEADY: f64 = 8.0;
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
-/// Planned orders leave this share of the order ration to misses.
+/// Planned orders leave the rest of the order ration to misses.
 const PLANNED_RATION: f64 = 0.6;
 /// A failed load is not repeated at the same place for this long.
 const LOAD_COOLDOWN: Tenths = 3 * SECOND;
@@ -35,39 +35,40 @@
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 4.0;
+/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
+const TARGET: f64 = 4.0;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
 const GAP_FLOOR: f64 = 30.0 * MILLI as f64;
-/// An ill invoker is shut for a time that doubles while it stays ill.
+/// An ill invoker is shut for a time that doubles while it stays ill; one that refuses for room, shortly.
 const SHUT_FIRST: Tenths = 500 * MILLI;
 const SHUT_MOST: Tenths = 4 * SECOND;
+const SHUT_FULL: Tenths = 100 * MILLI;
 /// Share of recent dispatches that ended in errors from which an invoker counts as ill.
 const ERRORS_ILL: f64 = 0.4;
+/// An invoker that refuses for room is at least this slow; slowness fades in so many seconds unless seen again.
+const FULL_SLOW: f64 = 3.0;
+const SLOW_FADES: f64 = 3.0;
 /// A fleet on which runs take this much longer than alone, on the mean, is jammed.
 const JAMMED: f64 = 1.5;
-/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
-const TARGET: f64 = 4.0;
-/// What a tenant sends beyond its share waits this much less.
+/// What a tenant sends beyond its share waits this much less, and the least billed work down to this share.
 const OVER_SHARE: f64 = 0.2;
-/// Least billed work is turned away from this share of its objective on.
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.6;
-/// An answer must leave this long before the client timeout to arrive in time.
+/// A final answer is given this long before the client timeout.
 const LAST_CALL: Tenths = 10 * MILLI;
 
+/// What to do when a step of an invocation, an order or a timer has ended.
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
-type OnHold = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
-type Later = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 
-/// One row a trigger type: what is stated, and the run time learned.
+/// One row a trigger type: what is stated, the mean run time, and run time over the hint of work.
 struct Row {
     stated: TriggerType,
     run: f64,
-    seen: u32,
-    /// Run time over the hint of work, where hints come.
     pace: f64,
+    seen: f64,
 }
 
 struct Dispatch {
@@ -77,7 +78,8 @@
     /// When an answer is expected, had all gone as the pick foresaw.
     due: Tenths,
     warm: bool,
-    work: f64,
+    /// Run time expected of this invocation, and of its function's on the whole.
+    run: f64,
     usual: f64,
     cancelled: bool,
     next: Next,
@@ -85,11 +87,11 @@
 
 struct Inv {
     call: Invocation,
-    out: Vec<Dispatch>,
     arrived: Tenths,
     over_share: bool,
+    out: Vec<Dispatch>,
     hops: u8,
-    /// The first dispatch that may have run, when it was sent and where.
+    /// The first dispatch that may have run: when it was sent, and where.
     may_have_run: Option<(Tenths, InvokerId)>,
     tried: Vec<InvokerId>,
     done: bool,
@@ -102,23 +104,23 @@
     heard: Tenths,
     /// Mean gap between answers while one is owed.
     gap: f64,
-    /// Time of answers over the time expected of them, and when that was last learned.
-    slow: f64,
-    slow_at: Tenths,
+    /// Time that answers took over the time expected of them, and when that was last learned.
+    slow: (f64, Tenths),
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
-    /// What was sent to it while cold: when, and how much work.
-    cold_sent: VecDeque<(Tenths, f64)>,
+    /// What was sent to it in the tipping window: when, and how much work.
+    sent: VecDeque<(Tenths, f64)>,
 }
 
+/// A function at an invoker, as far as this controller knows.
 #[derive(Default)]
 struct Place {
     warm: bool,
     touched: Tenths,
     loading: Option<Tenths>,
     ordered: bool,
-    waiting: Vec<OnHold>,
+    waiting: Vec<Next>,
     placed: bool,
     off_since: Option<Tenths>,
     cooldown: Tenths,
@@ -126,6 +128,7 @@
     out: u32,
 }
 
+#[derive(Default)]
 struct Function {
     trigger: usize,
     quick: f64,
@@ -152,6 +155,7 @@
         finish: f64,
         spread: Option<InvokerId>,
     },
+    /// A load that we ordered is under way there.
     Await(InvokerId),
     /// It was told lately that no copy is there, and a dispatch would bring none.
     Order(InvokerId),
@@ -160,21 +164,20 @@
 
 pub struct Controller {
     now: Tenths,
-    stated: Deployment,
+    d: Deployment,
     rng: fastrand::Rng,
     rows: Vec<Row>,
     invokers: BTreeMap<InvokerId, Invoker>,
     list_version: u64,
     functions: BTreeMap<FnId, Function>,
     invs: BTreeMap<InvId, Inv>,
-    timers: BTreeMap<u64, Later>,
+    timers: BTreeMap<u64, Next>,
     token: u64,
     taken: VecDeque<Tenths>,
     orders: VecDeque<Tenths>,
     orders_out: usize,
-    /// Work dispatched a tenth, smoothed.
-    work_rate: f64,
-    work_at: Tenths,
+    /// Work that ended well a tenth, smoothed, and when that was last right.
+    work_rate: (f64, Tenths),
     /// What is left of each tenant's share, and when that was last right.
     tenants: Vec<(f64, Tenths)>,
 }
@@ -213,25 +216,41 @@
 
 impl Invoker {
     fn new(listed: Listed, now: Tenths) -> Self {
-        let (out, out_work, gap, slow, errors) = (0, 0.0, GAP_FLOOR, 1.0, 0.0);
-        let (heard, slow_at, shut_until, shut_for, cold_sent) = (now, now, 0, 0, VecDeque::new());
-        Self { listed, out, out_work, heard, gap, slow, slow_at, errors, shut_until, shut_for, cold_sent }
+        let (out, out_work, gap, slow, errors) = (0, 0.0, GAP_FLOOR, (1.0, now), 0.0);
+        let (heard, shut_until, shut_for, sent) = (now, 0, 0, VecDeque::new());
+        Self { listed, out, out_work, heard, gap, slow, errors, shut_until, shut_for, sent }
+    }
+
+    fn ready(&self) -> bool {
+        self.listed.life == Life::Ready
     }
 
     fn slow(&self, now: Tenths) -> f64 {
-        1.0 + (self.slow - 1.0) * decay(now.saturating_sub(self.slow_at), 3.0)
+        1.0 + (self.slow.0 - 1.0) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
+    }
+
+    /// One whose shut time is over gets a single invocation, whose answer decides.
+    fn well(&self, now: Tenths) -> bool {
+        now >= self.shut_until && (self.shut_for == 0 || self.out == 0)
+    }
+
+    fn shut(&mut self, now: Tenths) {
+        if now >= self.shut_until {
+            self.shut_for = (2 * self.shut_for).clamp(SHUT_FIRST, SHUT_MOST);
+            self.shut_until = now + self.shut_for;
+        }
     }
 }
 
 impl Controller {
-    pub fn new(now: Tenths, stated: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, seen: 0, pace: 1.0 };
+    pub fn new(now: Tenths, d: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
+        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, pace: 1.0, seen: 0.0 };
         let mut c = Self {
             now,
             rng: fastrand::Rng::with_seed(seed),
-            tenants: stated.tenants.iter().map(|t| (t.quota / f64::from(stated.controllers), now)).collect(),
-            rows: stated.trigger_types.iter().map(row).collect(),
-            stated,
+            rows: d.trigger_types.iter().map(row).collect(),
+            tenants: d.tenants.iter().map(|t| (t.quota / f64::from(d.controllers), now)).collect(),
+            d,
             invokers: BTreeMap::new(),
             list_version: 1,
             functions: BTreeMap::new(),
@@ -241,8 +260,7 @@
             taken: VecDeque::new(),
             orders: VecDeque::new(),
             orders_out: 0,
-            work_rate: 0.0,
-            work_at: now,
+            work_rate: (0.0, now),
         };
         c.plan(acts);
         c.look(acts);
@@ -253,20 +271,18 @@
         self.rows.len()
     }
 
-    pub fn listed(&mut self, now: Tenths, whole: bool, entries: &[Listed], _acts: &mut dyn Acts) {
+    pub fn listed(&mut self, now: Tenths, whole: bool, entries: &[Listed]) {
         self.now = now;
         self.list_version += 1;
         if whole {
-            for v in self.invokers.values_mut() {
-                v.listed.life = Life::Gone;
-            }
+            self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
         }
         for l in entries {
             let v = self.invokers.entry(l.invoker).or_insert_with(|| Invoker::new(*l, now));
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
             if restarted {
-                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, 1.0);
+                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, (1.0, now));
                 self.forget_copies(l.invoker);
             }
         }
@@ -274,10 +290,8 @@
 
     /// A process that died or started anew holds nothing.
     fn forget_copies(&mut self, w: InvokerId) {
-        for f in self.functions.values_mut() {
-            if let Some(p) = f.places.get_mut(&w) {
-                (p.warm, p.loading, p.placed) = (false, None, false);
-            }
+        for p in self.functions.values_mut().filter_map(|f| f.places.get_mut(&w)) {
+            (p.warm, p.loading, p.placed) = (false, None, false);
         }
     }
 
@@ -287,87 +301,58 @@
         // A tenant's share is a bucket of two seconds; this controller fills its part of it.
         let mut over_share = false;
         if let (Some(t), Some((left, at))) =
-            (self.stated.tenants.get(call.tenant), self.tenants.get_mut(call.tenant))
+            (self.d.tenants.get(call.tenant), self.tenants.get_mut(call.tenant))
         {
-            let quota = t.quota / f64::from(self.stated.controllers);
+            let quota = t.quota / f64::from(self.d.controllers);
             *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(2.0 * quota);
             *at = now;
             over_share = *left < 1.0;
             *left -= if over_share { 0.0 } else { 1.0 };
         }
         let run = call.work_hint.map_or(self.rows[call.trigger].run, |h| h as f64);
-        let f = self.functions.entry(call.function).or_insert_with(|| Function {
-            trigger: call.trigger,
-            quick: 0.0,
-            steady: 0.0,
-            called: now,
-            run,
-            lanes: 1.0,
-            memory: 0.0,
-            load_told: None,
-            load_seen: 0.0,
-            members: 1,
-            surplus_since: None,
-            order: Vec::new(),
-            order_version: 0,
-            places: BTreeMap::new(),
-        });
-        let dt = now - f.called;
-        f.quick = f.quick * decay(dt, QUICK) + 1.0 / QUICK;
-        f.steady = f.steady * decay(dt, STEADY) + 1.0 / STEADY;
-        f.called = now;
-        (f.lanes, f.memory) = (call.lanes, call.memory);
+        let new = || Function { trigger: call.trigger, called: now, run, members: 1, ..Default::default() };
+        let f = self.functions.entry(call.function).or_insert_with(new);
+        f.quick = f.quick * decay(now - f.called, QUICK) + 1.0 / QUICK;
+        f.steady = f.steady * decay(now - f.called, STEADY) + 1.0 / STEADY;
+        (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
-        for p in f.places.values_mut() {
-            p.off_since = p.off_since.map(|_| now);
-        }
-        let id = call.id;
-        let inv = Inv {
-            call,
-            out: Vec::new(),
-            arrived: now,
-            over_share,
-            hops: 0,
-            may_have_run: None,
-            tried: Vec::new(),
-            done: false,
-        };
+        f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
+        let (id, arrived, out, tried) = (call.id, now, Vec::new(), Vec::new());
+        let inv = Inv { call, arrived, over_share, out, hops: 0, may_have_run: None, tried, done: false };
         self.invs.insert(id, inv);
         self.send(id, acts);
     }
 
-    pub fn left(&mut self, now: Tenths, id: InvId, _acts: &mut dyn Acts) {
+    pub fn left(&mut self, now: Tenths, id: InvId) {
         self.now = now;
         self.finish_inv(id);
     }
 
     fn finish_inv(&mut self, id: InvId) {
-        if let Some(inv) = self.invs.get_mut(&id) {
-            inv.done = true;
-            if inv.out.is_empty() {
-                self.invs.remove(&id);
-            }
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        inv.done = true;
+        if inv.out.is_empty() {
+            self.invs.remove(&id);
         }
     }
 
     /// Rule 2: whether a further dispatch to `w` can do no harm.
     fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
-        if inv.hops >= self.stated.dispatch_limit || (!inv.out.is_empty() && !self.stated.parallel_dispatches)
-        {
+        if inv.hops >= self.d.dispatch_limit || (!inv.out.is_empty() && !self.d.parallel_dispatches) {
             return false;
         }
         let row = &self.rows[inv.call.trigger].stated;
         let out = inv.out.iter().map(|d| (d.sent, d.invoker)).min();
         let Some((sent, at)) = inv.may_have_run.into_iter().chain(out).min() else { return true };
-        let (Some(a), Some(b)) = (self.invokers.get(&at), self.invokers.get(&w)) else { return false };
+        let (a, b) = (&self.invokers[&at].listed, &self.invokers[&w].listed);
         let same = match row.scope {
             Scope::All => true,
-            Scope::Zone => a.listed.zone == b.listed.zone,
-            Scope::Cell => a.listed.cell == b.listed.cell,
+            Scope::Zone => a.zone == b.zone,
+            Scope::Cell => a.cell == b.cell,
         };
         match row.effect {
             Effect::Idempotent => true,
-            Effect::Tokened => same && self.now + self.stated.tick < sent + row.repeat_window,
+            Effect::Tokened => same && self.now + self.d.tick < sent + row.repeat_window,
             Effect::NonIdempotent => false,
         }
     }
@@ -381,15 +366,12 @@
         }
     }
 
-    /// The final answer, at once: whoever is given up on may try again elsewhere.
+    /// The final answer, at once: the client may try again.
     fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id) else { return };
-        if inv.done || !inv.out.is_empty() {
-            return;
-        }
+        let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_empty()) else { return };
         if self.may_throttle(inv) {
             let wait = self.rows[inv.call.trigger].stated.objective / 2;
-            acts.throttle(id, self.stated.come_back_max.map_or(0, |most| wait.min(most)));
+            acts.throttle(id, self.d.come_back_max.map_or(0, |most| wait.min(most)));
         } else {
             acts.error(id);
         }
@@ -397,23 +379,20 @@
     }
 
     fn send(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id) else { return };
-        if inv.done {
-            return;
-        }
-        if self.now + LAST_CALL >= inv.call.expires {
+        let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done) else { return };
+        let (fid, expires) = (inv.call.function, inv.call.expires);
+        if self.now + LAST_CALL >= expires {
             return self.settle(id, acts);
         }
-        let (fid, expires) = (inv.call.function, inv.call.expires);
         match self.pick(id) {
             Choice::Go { invoker, warm, finish, spread } => {
                 if let Some(w) = spread {
-                    self.order_load(w, fid, 1, PLANNED_RATION, acts);
+                    self.order_load(w, fid, PLANNED_RATION, acts);
                 }
                 self.dispatch(id, invoker, warm, finish, acts)
             }
             Choice::Await(w) => self.await_hold(id, w, acts),
-            Choice::Order(w) if self.order_load(w, fid, 1, 1.0, acts) => self.await_hold(id, w, acts),
+            Choice::Order(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
             // The ration or the pending cap is used up: it frees up with time, tries don't.
             Choice::Order(_) => {
                 let at = (self.now + ASK_AGAIN).min(expires - LAST_CALL);
@@ -425,36 +404,28 @@
 
     fn dispatch(&mut self, id: InvId, w: InvokerId, warm: bool, finish: f64, acts: &mut dyn Acts) {
         let fid = self.invs[&id].call.function;
-        if !warm && !self.stated.misses {
+        let loads = !warm && !self.d.misses;
+        if loads {
             self.make_room(w, fid, acts);
         }
         let (Some(inv), Some(f)) = (self.invs.get_mut(&id), self.functions.get_mut(&fid)) else { return };
-        let Some(v) = self.invokers.get_mut(&w) else { return };
-        let row = &self.rows[inv.call.trigger];
+        let (Some(v), row) = (self.invokers.get_mut(&w), &self.rows[inv.call.trigger]) else { return };
+        let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run, self.now, inv.hops);
         if v.out == 0 {
-            v.heard = self.now;
+            v.heard = sent;
         }
         v.out += 1;
-        let run = expected(&inv.call, f, row);
-        v.out_work += f.run;
-        v.cold_sent.push_back((self.now, row.run));
+        v.out_work += usual;
+        v.sent.push_back((sent, row.run));
         let p = f.places.entry(w).or_default();
         p.out += 1;
-        p.touched = self.now;
-        if !warm && !self.stated.misses && p.loading.is_none() {
-            p.loading = Some(self.now);
-        }
-        inv.out.push(Dispatch {
-            hop: inv.hops,
-            invoker: w,
-            sent: self.now,
-            due: self.now + finish as Tenths,
-            warm,
-            work: run,
-            usual: f.run,
-            cancelled: false,
-            next: Box::new(move |c, acts| c.after(id, acts)),
-        });
+        p.touched = sent;
+        if loads {
+            p.loading.get_or_insert(sent);
+        }
+        let due = sent + finish as Tenths;
+        let next: Next = Box::new(move |c, acts| c.after(id, acts));
+        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, run, usual, cancelled: false, next });
         inv.hops += 1;
         acts.dispatch(id, w, 0);
     }
@@ -465,117 +436,94 @@
         let Some(i) = inv.out.iter().position(|d| d.hop == a.hop) else { return };
         let d = inv.out.remove(i);
         if !a.outcome.never_ran() {
-            let first = inv.may_have_run.map_or((d.sent, d.invoker), |m| m.min((d.sent, d.invoker)));
-            inv.may_have_run = Some(first);
+            let this = (d.sent, d.invoker);
+            inv.may_have_run = Some(inv.may_have_run.map_or(this, |first| first.min(this)));
         }
         if a.outcome != Outcome::Succeeded && a.outcome != Outcome::Miss {
             inv.tried.push(d.invoker);
         }
         inv.done |= a.finished;
         let (fid, trigger, hint) = (inv.call.function, inv.call.trigger, inv.call.work_hint);
-        self.learn(fid, trigger, hint.map(|h| (h as f64).max(1.0)), &d, &a);
+        self.learn(fid, trigger, hint, &d, &a);
         (d.next)(self, acts);
     }
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
-    fn learn(&mut self, fid: FnId, trigger: usize, hint: Option<f64>, d: &Dispatch, a: &Answer) {
-        let now = self.now;
-        let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&d.invoker)) else {
-            return;
-        };
+    fn learn(&mut self, fid: FnId, trigger: usize, hint: Option<Tenths>, d: &Dispatch, a: &Answer) {
+        let (now, took, w) = (self.now, a.took as f64, d.invoker);
+        let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
+        let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
         v.out -= 1;
         v.out_work = (v.out_work - d.usual).max(0.0);
-        let p = f.places.entry(d.invoker).or_default();
         p.out -= 1;
-        let silent = matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent);
-        if !silent {
-            v.gap += 0.1 * ((now - v.heard) as f64 - v.gap);
-            v.gap = v.gap.max(GAP_FLOOR);
+        if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
+            v.gap = (v.gap + 0.1 * ((now - v.heard) as f64 - v.gap)).max(GAP_FLOOR);
             v.heard = now;
         }
-        let took = a.took as f64;
-        let mut ill = false;
         match a.outcome {
             Outcome::Succeeded => {
                 v.errors *= 0.8;
-                // Only what was done counts: work sent in vain must not widen what cold invokers get (rule 4).
-                let row = &mut self.rows[trigger];
-                let faded = self.work_rate * decay(now - self.work_at, STEADY);
-                (self.work_rate, self.work_at) = (faded + row.run / (STEADY * SECOND as f64), now);
                 (v.shut_until, v.shut_for) = (0, 0);
-                let was_warm = a.found.map_or(d.warm, |found| found == Found::Warm);
-                if was_warm {
-                    let ratio = (took / d.work.max(1.0)).min(10.0);
-                    v.slow = v.slow(now) + 0.1 * (ratio - v.slow(now));
-                    v.slow_at = now;
-                    // Run times learned in a jam would make demand, and with it the pools, grow with the jam.
+                // Only what was done counts: work sent in vain must not widen what cold invokers get (rule 4).
+                let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
+                self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
+                if a.found.map_or(d.warm, |found| found == Found::Warm) {
+                    let slow = v.slow(now);
+                    v.slow = (slow + 0.1 * ((took / d.run.max(1.0)).min(10.0) - slow), now);
+                    // Run times learned in a jam as they are would make demand, and pools, grow with the jam.
                     let alone = took / v.slow(now).max(1.0);
+                    f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
+                    row.seen = (row.seen + 1.0).min(100.0);
+                    row.run += (alone - row.run) / row.seen;
                     if let Some(h) = hint {
-                        row.pace += (alone / h - row.pace) / (row.seen.min(100) + 1) as f64;
+                        row.pace += (alone / (h as f64).max(1.0) - row.pace) / row.seen;
                     }
-                    f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
-                    row.run += (alone - row.run) / (row.seen.min(100) + 1) as f64;
-                    row.seen += 1;
                 } else if a.found == Some(Found::BeganLoad) {
-                    f.load_seen = f.load_seen.max(took - d.work);
+                    f.load_seen = f.load_seen.max(took - d.run);
                 }
                 (p.warm, p.loading) = (true, None);
             }
             Outcome::Errored => {
                 v.errors += 0.2 * (1.0 - v.errors);
-                ill = v.errors > ERRORS_ILL;
+                if v.errors > ERRORS_ILL {
+                    v.shut(now);
+                }
             }
-            Outcome::Miss => {
-                (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS);
+            Outcome::Miss => (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS),
+            Outcome::NoConnection => v.shut(now),
+            Outcome::Reset => {
+                v.shut(now);
+                self.forget_copies(w);
             }
-            Outcome::NoConnection | Outcome::Reset => ill = true,
             Outcome::Full => {
-                (v.slow, v.slow_at) = (v.slow(now).max(3.0), now);
-                v.shut_until = v.shut_until.max(now + 100 * MILLI);
+                v.slow = (v.slow(now).max(FULL_SLOW), now);
+                v.shut_until = v.shut_until.max(now + SHUT_FULL);
             }
             _ => {}
         }
-        if ill {
-            self.shut(d.invoker);
-        }
-        if matches!(a.outcome, Outcome::Reset) {
-            self.forget_copies(d.invoker);
-        }
-    }
-
-    fn shut(&mut self, w: InvokerId) {
-        let Some(v) = self.invokers.get_mut(&w) else { return };
-        if self.now >= v.shut_until {
-            v.shut_for = (2 * v.shut_for).clamp(SHUT_FIRST, SHUT_MOST);
-            v.shut_until = self.now + v.shut_for;
-        }
     }
 
     /// What follows a dispatch that has ended.
     fn after(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id) else { return };
-        if inv.done {
-            return self.finish_inv(id);
-        }
-        if !inv.out.is_empty() {
-            return;
+        match self.invs.get(&id) {
+            Some(inv) if inv.done => self.finish_inv(id),
+            Some(inv) if inv.out.is_empty() => self.send(id, acts),
+            _ => {}
         }
-        self.send(id, acts);
     }
 
     fn await_hold(&mut self, id: InvId, w: InvokerId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id) else { return };
-        let (fid, expires) = (inv.call.function, inv.call.expires);
-        let hops = inv.hops;
-        if let Some(p) = self.functions.get_mut(&fid).and_then(|f| f.places.get_mut(&w)) {
-            p.waiting.push(Box::new(move |c, acts| {
-                if c.invs.get(&id).is_some_and(|inv| inv.hops == hops) {
-                    c.send(id, acts);
-                }
-            }));
-        }
-        self.later(expires.saturating_sub(LAST_CALL), acts, move |c, acts| {
-            if c.invs.get(&id).is_some_and(|inv| inv.hops == hops) {
+        let (hops, expires) = (inv.hops, inv.call.expires);
+        let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.hops == hops);
+        let Some(f) = self.functions.get_mut(&inv.call.function) else { return };
+        f.places.entry(w).or_default().waiting.push(Box::new(move |c, acts| {
+            if still(c) {
+                c.send(id, acts);
+            }
+        }));
+        self.later(expires - LAST_CALL, acts, move |c, acts| {
+            if still(c) {
                 c.settle(id, acts);
             }
         });
@@ -599,303 +547,222 @@
         }
     }
 
-    pub fn probed(
-        &mut self,
-        now: Tenths,
-        _w: InvokerId,
-        _ok: bool,
-        _took: Tenths,
-        _report: Report,
-        _acts: &mut dyn Acts,
-    ) {
-        self.now = now;
-    }
-
     /// The rendezvous order of a function: a hash of both, weighted by size, the same at every controller.
     fn order(&mut self, fid: FnId) {
-        let version = self.list_version;
-        let Some(f) = self.functions.get_mut(&fid) else { return };
-        if f.order_version == version {
+        let Some(f) = self.functions.get_mut(&fid).filter(|f| f.order_version != self.list_version) else {
             return;
-        }
-        let mut scored: Vec<(f64, InvokerId)> = Vec::new();
-        for (w, v) in self.invokers.iter().filter(|(_, v)| v.listed.life == Life::Ready) {
+        };
+        let score = |(w, v): (&InvokerId, &Invoker)| {
             let unit = (mix(mix(fid) ^ u64::from(*w)) >> 11) as f64 / (1u64 << 53) as f64;
-            scored.push((-unit.max(1e-18).ln() / v.listed.size.max(0.01), *w));
-        }
-        scored.sort_by(|a, b| a.partial_cmp(b).expect("scores are numbers"));
+            (-unit.max(1e-18).ln() / v.listed.size.max(0.01), *w)
+        };
+        let mut scored: Vec<_> = self.invokers.iter().filter(|(_, v)| v.ready()).map(score).collect();
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         f.order = scored.into_iter().map(|(_, w)| w).collect();
-        f.order_version = version;
-    }
-
-    fn mean_size(&self) -> f64 {
-        let ready = self.invokers.values().filter(|v| v.listed.life == Life::Ready);
-        let (n, sum) = ready.fold((0.0, 0.0), |(n, sum), v| (n + 1.0, sum + v.listed.size));
-        if n > 0.0 { (sum / n).max(0.01) } else { 1.0 }
+        f.order_version = self.list_version;
     }
 
-    /// How slow the fleet is on the whole: one jammed pool or a few ill invokers are no overload.
-    fn fleet_slow(&self) -> f64 {
-        let ready = self.invokers.values().filter(|v| v.listed.life == Life::Ready);
-        let (n, sum) = ready.fold((0.0, 0.0), |(n, sum), v| (n + 1.0, sum + v.slow(self.now)));
-        if n > 0.0 { sum / n } else { 1.0 }
+    /// How many are ready, their size, and how slow they are on the mean: one jammed pool is no overload.
+    fn fleet(&self) -> (usize, f64, f64) {
+        let add =
+            |(n, size, slow), v: &Invoker| (n + 1, size + v.listed.size.max(0.01), slow + v.slow(self.now));
+        let (n, size, slow) = self.invokers.values().filter(|v| v.ready()).fold((0, 0.0, 0.0), add);
+        (n, size, if n > 0 { slow / n as f64 } else { 1.0 })
     }
 
     /// What part of its full capacity an invoker has at least, by the stated slowest rise.
     fn risen(&self, v: &Invoker) -> f64 {
         let Some(started) = v.listed.started else { return 1.0 };
-        let age = self.now.saturating_sub(started) as f64 / self.stated.cold_time.max(1) as f64;
-        (self.stated.cold_share + (1.0 - self.stated.cold_share) * age).min(1.0)
+        let age = self.now.saturating_sub(started) as f64 / self.d.cold_time.max(1) as f64;
+        (self.d.cold_share + (1.0 - self.d.cold_share) * age).min(1.0)
     }
 
-    /// Rule 4: work that may still be sent now. What we send an invoker of its size on average stands for our
-    /// share of its capacity; all controllers doing so together stay below it while the fleet is not overloaded.
-    fn cold_room(&self, v: &Invoker) -> f64 {
+    /// Rule 4: work that may still be sent now. What we got done an invoker of its size on the mean stands for
+    /// our part of its capacity: all controllers together never get done more than the fleet can do.
+    fn cold_room(&self, v: &Invoker, fleet_size: f64) -> f64 {
         let risen = self.risen(v);
         if risen >= 1.0 {
             return f64::INFINITY;
         }
-        let ready: f64 =
-            self.invokers.values().filter(|v| v.listed.life == Life::Ready).map(|v| v.listed.size).sum();
-        let share = self.work_rate * v.listed.size / ready.max(0.01);
-        let window = self.stated.tip_window;
-        let sent: f64 = v.cold_sent.iter().filter(|(at, _)| at + window > self.now).map(|(_, w)| w).sum();
-        COLD_MARGIN * self.stated.tip_factor * risen * share * window as f64 - sent
-    }
-
-    /// An ill invoker whose shut time is over gets one invocation, whose answer decides.
-    fn well(&self, v: &Invoker) -> bool {
-        self.now >= v.shut_until && (v.shut_for == 0 || v.out == 0)
-    }
-
-    fn open(&self, v: &Invoker, work: f64) -> bool {
-        v.listed.life == Life::Ready && self.well(v) && self.cold_room(v) >= work
+        let window = self.d.tip_window;
+        let part = self.work_rate.0 * v.listed.size / fleet_size.max(0.01);
+        let sent: f64 = v.sent.iter().filter(|(at, _)| at + window > self.now).map(|(_, work)| work).sum();
+        COLD_MARGIN * self.d.tip_factor * risen * part * window as f64 - sent
     }
 
     /// How long a wait at the best invoker is still worth it: less for what earns little, so that in an
     /// overload the least billed value is turned away first and what is taken is answered in time.
     fn patience(&self, inv: &Inv) -> f64 {
         let row = &self.rows[inv.call.trigger].stated;
-        let most = self.rows.iter().map(|r| r.stated.billed_value).fold(0.0, f64::max);
-        let value = row.billed_value / most.max(1e-9);
+        let most = self.rows.iter().map(|r| r.stated.billed_value).fold(1e-9, f64::max);
         let share = if inv.over_share { OVER_SHARE } else { 1.0 };
         let left = row.objective.saturating_sub(self.now - inv.arrived) as f64;
-        share * left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * value)
+        share * left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * row.billed_value / most)
     }
 
     /// Earliest finish in the pool; along the order when all members are past their target load.
     fn pick(&mut self, id: InvId) -> Choice {
         let fid = self.invs[&id].call.function;
         self.order(fid);
-        let inv = &self.invs[&id];
-        let f = &self.functions[&fid];
-        let (size, keep, now) = (self.mean_size(), self.stated.keep_alive, self.now);
+        let (inv, f, now) = (&self.invs[&id], &self.functions[&fid], self.now);
         let row = &self.rows[inv.call.trigger];
-        let (work, alone) = (row.run, expected(&inv.call, f, row));
-        let ready = f.order.len();
-        let shut = f.order.iter().filter(|w| self.now < self.invokers[w].shut_until).count();
+        let alone = expected(&inv.call, f, row);
+        let (n, size, fleet_slow) = self.fleet();
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
-        let all_ill = 2 * shut > ready;
+        let all_ill = 2 * f.order.iter().filter(|w| now < self.invokers[w].shut_until).count() > n;
         let mut best: Vec<(u64, InvokerId, bool, bool)> = Vec::new();
-        let mut shortest = f64::INFINITY;
-        let mut members = 0;
-        let mut below_target = false;
+        let (mut shortest, mut below_target) = (f64::INFINITY, false);
         for w in &f.order {
-            let v = &self.invokers[w];
-            let cold = self.cold_room(v);
-            if cold < work || (!self.well(v) && !all_ill) || inv.tried.contains(w) || !self.may_send(inv, *w)
-            {
+            let (v, p) = (&self.invokers[w], f.places.get(w));
+            let cooling = self.d.misses && p.is_some_and(|p| now < p.cooldown);
+            let barred = cooling || inv.tried.contains(w) || !self.may_send(inv, *w);
+            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run {
                 continue;
             }
-            if members >= f.members && below_target {
+            if best.len() >= f.members && below_target {
                 break;
             }
-            members += 1;
-            let p = f.places.get(w);
-            if self.stated.misses && p.is_some_and(|p| now < p.cooldown) {
-                continue;
-            }
-            let out = p.map_or(0, |p| p.out) as f64;
-            let warm = f.warm(*w, now, keep);
-            let loading = p.and_then(|p| p.loading);
-            let load = match loading {
+            let out = p.map_or(0.0, |p| f64::from(p.out));
+            let warm = f.warm(*w, now, self.d.keep_alive);
+            let load = match p.and_then(|p| p.loading) {
                 _ if warm => 0.0,
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
                 None => f.load(),
             };
             let slow = v.slow(now) / self.risen(v);
-            let queue = slow * f.run * out / f.lanes + v.out_work * size / (CORES * v.listed.size);
+            let queue = slow * f.run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
             let usual = slow * f.run + queue;
             let finish = load + slow * alone + queue;
             shortest = shortest.min(usual);
             below_target |= out < f.lanes && usual < TARGET * f.run;
-            let awaited = !warm && self.stated.misses && p.is_some_and(|p| p.ordered);
-            best.push(((finish / MILLI as f64) as u64, *w, warm, awaited));
+            let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
+            best.push((finish as u64 / MILLI, *w, warm, awaited));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
         let mut spread = None;
-        if self.stated.misses && best.iter().any(|b| b.2) {
+        if self.d.misses && best.iter().any(|b| b.2) {
             spread = best.iter().min().filter(|b| !b.2 && !b.3).map(|b| b.1);
             best.retain(|b| b.2 || b.3);
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
-        if shortest > self.patience(inv) && self.fleet_slow() > JAMMED && self.may_throttle(inv) {
+        if shortest > self.patience(inv) && fleet_slow > JAMMED && self.may_throttle(inv) {
             return Choice::Nobody;
         }
         best.retain(|b| b.0 == least);
         let (finish, invoker, warm, awaited) = best[self.rng.usize(..best.len())];
-        if awaited {
-            Choice::Await(invoker)
-        } else {
-            if self.stated.misses && !warm && f.places.get(&invoker).is_some_and(|p| now < p.lacks_until) {
-                Choice::Order(invoker)
-            } else {
-                Choice::Go { invoker, warm, finish: (finish * MILLI) as f64, spread }
-            }
+        let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
+        match (awaited, self.d.misses && !warm && lacks) {
+            (true, _) => Choice::Await(invoker),
+            (_, true) => Choice::Order(invoker),
+            _ => Choice::Go { invoker, warm, finish: (finish * MILLI) as f64, spread },
         }
     }
 
     /// Pools: sizes from demand, then members' holds within the budgets, every second.
     fn plan(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + PLAN_EVERY, acts, |c, acts| c.plan(acts));
-        let now = self.now;
-        self.functions.retain(|_, f| {
-            now < f.called + 2 * FORGET || f.places.values().any(|p| p.out > 0 || p.ordered || p.placed)
-        });
+        let (now, keep, tip) = (self.now, self.d.keep_alive, self.d.tip_window);
         for f in self.functions.values_mut() {
-            let keep = self.stated.keep_alive;
             f.places.retain(|_, p| p.out > 0 || p.ordered || now < p.touched + keep || now < p.cooldown);
         }
-        let window = self.stated.order_window.max(SECOND);
-        while self.taken.front().is_some_and(|at| at + window <= now) {
-            self.taken.pop_front();
-        }
+        self.functions.retain(|_, f| now < f.called + 2 * FORGET || !f.places.is_empty());
+        let window = self.d.order_window.max(SECOND);
+        while self.taken.pop_front_if(|at| *at + window <= now).is_some() {}
         for v in self.invokers.values_mut() {
-            while v.cold_sent.front().is_some_and(|(at, _)| at + self.stated.tip_window <= now) {
-                v.cold_sent.pop_front();
-            }
-        }
-        let ids: Vec<FnId> = self.functions.keys().copied().collect();
-        for fid in &ids {
-            self.order(*fid);
+            while v.sent.pop_front_if(|(at, _)| *at + tip <= now).is_some() {}
         }
-        let ready: Vec<&Invoker> = self.invokers.values().filter(|v| v.listed.life == Life::Ready).collect();
-        let memory_of =
-            |v: &Invoker| self.stated.kind_memory.get(v.listed.kind as usize).copied().unwrap_or(0.0);
-        let total: f64 = ready.iter().map(|v| memory_of(v)).sum();
+        let memory = |v: &Invoker| self.d.kind_memory.get(usize::from(v.listed.kind)).copied().unwrap_or(0.0);
+        let total: f64 = self.invokers.values().filter(|v| v.ready()).map(memory).sum();
         let mut room = if total > 0.0 { total * POOL_MEMORY } else { f64::INFINITY };
-        let n = ready.len();
+        let ready = self.fleet().0.max(1);
         // Floors first, then by what the calls are worth.
         let mut want: Vec<(f64, FnId, usize)> = Vec::new();
-        for (fid, f) in self.functions.iter().filter(|(_, f)| now < f.called + FORGET) {
+        for (fid, f) in &mut self.functions {
+            if now >= f.called + FORGET {
+                f.members = 0;
+                continue;
+            }
             let rate = f.rate(now);
-            let demand = rate * self.stated.controllers as f64 * f.run / SECOND as f64;
-            let members = (demand / (f.lanes * FILL)).ceil().clamp(1.0, n.max(1) as f64);
+            let demand = rate * f64::from(self.d.controllers) * f.run / SECOND as f64;
+            let members = (demand / (f.lanes * FILL)).ceil().clamp(1.0, ready as f64);
             want.push((rate * self.rows[f.trigger].stated.billed_value, *fid, members as usize));
             room -= f.memory;
         }
-        want.sort_by(|a, b| b.partial_cmp(a).expect("rates are numbers"));
-        for f in self.functions.values_mut().filter(|f| now >= f.called + FORGET) {
-            f.members = 0;
-        }
-        for (_, fid, members) in &want {
-            let Some(f) = self.functions.get_mut(fid) else { continue };
-            let extra = ((members - 1) as f64).min((room / f.memory.max(1.0)).max(0.0).floor()) as usize;
+        want.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut moves = ready;
+        for (_, fid, members) in want {
+            self.order(fid);
+            let Some(f) = self.functions.get_mut(&fid) else { continue };
+            let extra = (members - 1).min((room / f.memory.max(1.0)).max(0.0) as usize);
             room -= extra as f64 * f.memory;
-            let members = 1 + extra;
-            if members >= f.members {
-                (f.members, f.surplus_since) = (members, None);
+            if 1 + extra >= f.members {
+                (f.members, f.surplus_since) = (1 + extra, None);
             } else if now >= *f.surplus_since.get_or_insert(now) + DWELL {
                 (f.members, f.surplus_since) = (f.members - 1, Some(now));
             }
-        }
-        let mut moves = n.max(1);
-        for (_, fid, _) in want {
-            if moves == 0 {
-                break;
-            }
             moves -= self.fill_pool(fid, moves, acts);
         }
     }
 
     /// Orders holds for members without a warm belief, and renews those about to lapse.
     fn fill_pool(&mut self, fid: FnId, most: usize, acts: &mut dyn Acts) -> usize {
-        let (now, keep) = (self.now, self.stated.keep_alive);
+        let (now, keep, size) = (self.now, self.d.keep_alive, self.fleet().1);
         let f = &self.functions[&fid];
-        let able = |w: &&InvokerId| self.open(&self.invokers[*w], 0.0);
+        let able =
+            |w: &&InvokerId| self.invokers[*w].well(now) && self.cold_room(&self.invokers[*w], size) >= 0.0;
         let members: Vec<InvokerId> = f.order.iter().filter(able).take(f.members).copied().collect();
-        let mut used = 0;
         let Some(f) = self.functions.get_mut(&fid) else { return 0 };
         for (w, p) in &mut f.places {
-            let off = !members.contains(w);
-            p.off_since = if off { p.off_since.or(Some(now)) } else { None };
+            p.off_since = if members.contains(w) { None } else { p.off_since.or(Some(now)) };
         }
+        let mut used = 0;
         for w in members {
             let f = &self.functions[&fid];
-            let p = f.places.get(&w);
-            let due = match p {
-                Some(p) if f.warm(w, now, keep) => {
-                    p.out == 0 && now >= p.touched + (keep as f64 * RENEW_AT) as Tenths
-                }
-                Some(p) => p.loading.is_none() && !p.ordered && now >= p.cooldown,
-                None => true,
-            };
-            if due && used < most && self.order_load(w, fid, 1, PLANNED_RATION, acts) {
+            let due = f.places.get(&w).is_none_or(|p| match f.warm(w, now, keep) {
+                true => p.out == 0 && now >= p.touched + (keep as f64 * RENEW_AT) as Tenths,
+                false => p.loading.is_none(),
+            });
+            if due && used < most && self.order_load(w, fid, PLANNED_RATION, acts) {
                 used += 1;
             }
         }
         used
     }
 
-    /// One hold order, if the pending cap and the ration allow it.
-    fn order_load(&mut self, w: InvokerId, fid: FnId, count: u8, ration: f64, acts: &mut dyn Acts) -> bool {
-        let now = self.now;
-        let d = &self.stated;
-        let ready = self.invokers.values().filter(|v| v.listed.life == Life::Ready).count();
-        let cap = (2 * ready / d.controllers as usize).max(2);
-        if !d.may_order
-            || self.orders_out >= cap
-            || self.invokers.get(&w).is_none_or(|v| v.listed.life != Life::Ready)
-        {
+    /// One hold order, if the pending cap and this part of the ration allow it.
+    fn order_load(&mut self, w: InvokerId, fid: FnId, ration: f64, acts: &mut dyn Acts) -> bool {
+        let (now, window) = (self.now, self.d.order_window);
+        let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(2);
+        if !self.d.may_order || self.orders_out >= cap || !self.invokers.get(&w).is_some_and(Invoker::ready) {
             return false;
         }
-        if d.order_window > 0 {
-            let since = |at: &&Tenths| **at + d.order_window > now;
-            let taken = self.taken.iter().rev().take_while(since).count() as f64;
-            while self.orders.front().is_some_and(|at| at + d.order_window + MILLI <= now) {
-                self.orders.pop_front();
-            }
-            if self.orders.len() as f64 + 1.0 > (d.orders_free + d.orders_share * taken) * ration {
+        if window > 0 {
+            while self.orders.pop_front_if(|at| *at + window + MILLI <= now).is_some() {}
+            let taken = self.taken.iter().rev().take_while(|at| **at + window > now).count() as f64;
+            if self.orders.len() as f64 + 1.0 > (self.d.orders_free + self.d.orders_share * taken) * ration {
                 return false;
             }
         }
-        let keep = d.keep_alive;
         let Some(f) = self.functions.get_mut(&fid) else { return false };
-        let warm = f.warm(w, now, keep);
+        let warm = f.warm(w, now, self.d.keep_alive);
         let p = f.places.entry(w).or_default();
         if p.ordered || now < p.cooldown {
             return false;
         }
-        p.ordered = true;
-        p.placed = true;
+        (p.ordered, p.placed) = (true, true);
         if !warm {
             p.loading = Some(now);
             self.make_room(w, fid, acts);
         }
-        if self.stated.order_window > 0 {
-            self.orders.push_back(now);
-        }
+        self.orders.push_back(now);
         self.orders_out += 1;
-        acts.hold(w, fid, count);
+        acts.hold(w, fid, 1);
         true
     }
 
-    /// Before a load at `w`: our own idle instances there that have been planned off for a dwell and not called.
+    /// Before a load at `w`: our own idle instances there, planned off for a dwell and not called since.
     fn make_room(&mut self, w: InvokerId, fid: FnId, acts: &mut dyn Acts) {
-        if !self.stated.may_order {
-            return;
-        }
-        for (g, f) in self.functions.iter_mut().filter(|(g, _)| **g != fid) {
+        for (g, f) in self.functions.iter_mut().filter(|(g, _)| self.d.may_order && **g != fid) {
             let Some(p) = f.places.get_mut(&w) else { continue };
             let stale = p.off_since.is_some_and(|since| self.now >= since + DWELL);
             if p.placed && p.warm && stale && p.out == 0 && !p.ordered {
@@ -910,25 +777,23 @@
         self.orders_out = self.orders_out.saturating_sub(1);
         let Some(f) = self.functions.get_mut(&a.function) else { return };
         let p = f.places.entry(a.invoker).or_default();
-        (p.ordered, p.loading) = (false, None);
+        (p.ordered, p.loading, p.lacks_until) = (false, None, 0);
         p.warm = a.outcome == HoldOutcome::Standing;
-        p.lacks_until = 0;
         if p.warm {
-            p.touched = now - a.took;
-            if a.took > f.load_seen as Tenths && a.took > 50 * MILLI {
-                f.load_seen = a.took as f64;
-            }
+            p.touched = p.touched.max(now - a.took);
+            f.load_seen = f.load_seen.max(a.took as f64);
         } else {
-            p.cooldown = now + LOAD_COOLDOWN;
-            p.placed = false;
+            (p.cooldown, p.placed) = (now + LOAD_COOLDOWN, false);
         }
         let waiting = std::mem::take(&mut p.waiting);
-        if a.outcome == HoldOutcome::Unreachable {
-            self.shut(a.invoker);
-        }
-        for then in waiting {
-            then(self, acts);
+        if let (HoldOutcome::Unreachable, Some(v)) = (a.outcome, self.invokers.get_mut(&a.invoker)) {
+            v.shut(now);
         }
+        waiting.into_iter().for_each(|then| then(self, acts));
+    }
+
+    pub fn probed(&mut self, now: Tenths, _w: InvokerId, _ok: bool, _took: Tenths, _report: Report) {
+        self.now = now;
     }
 
     /// Looks for unusual silence, and moves what waits at a silent invoker where a repeat does no harm.
@@ -936,45 +801,39 @@
         self.later(self.now + LOOK_EVERY, acts, |c, acts| c.look(acts));
         let mut due: BTreeMap<InvokerId, Tenths> = BTreeMap::new();
         for d in self.invs.values().flat_map(|inv| &inv.out) {
-            let at = due.entry(d.invoker).or_insert(d.due);
-            *at = d.due.min(*at);
+            due.entry(d.invoker).and_modify(|at| *at = d.due.min(*at)).or_insert(d.due);
         }
         for (w, due) in due {
-            let v = &self.invokers[&w];
+            let Some(v) = self.invokers.get_mut(&w) else { continue };
             let silence = self.now.saturating_sub(v.heard.max(due)) as f64;
             if silence / v.gap / std::f64::consts::LN_10 > PHI {
-                self.shut(w);
+                v.shut(self.now);
                 self.move_off(w, acts);
             }
         }
     }
 
     fn move_off(&mut self, w: InvokerId, acts: &mut dyn Acts) {
-        let stuck = |inv: &Inv| {
-            !inv.done && inv.out.iter().any(|d| d.invoker == w && d.due < self.now && !d.cancelled)
-        };
+        let late = |d: &Dispatch| d.invoker == w && d.due < self.now && !d.cancelled;
+        let stuck = |inv: &Inv| !inv.done && inv.out.iter().any(late) && inv.hops < self.d.dispatch_limit;
         let ids: Vec<InvId> = self.invs.iter().filter(|(_, inv)| stuck(inv)).map(|(id, _)| *id).collect();
         for id in ids {
-            let Some(inv) = self.invs.get(&id) else { continue };
+            let Some(inv) = self.invs.get_mut(&id) else { continue };
             let row = &self.rows[inv.call.trigger].stated;
-            if self.stated.parallel_dispatches && row.effect != Effect::NonIdempotent {
-                if inv.out.len() < 2
-                    && inv.hops < self.stated.dispatch_limit
-                    && let Choice::Go { invoker, warm, finish, .. } = self.pick(id)
-                    && invoker != w
-                {
-                    self.dispatch(id, invoker, warm, finish, acts);
-                }
-                continue;
-            }
             let in_window = inv.out.iter().all(|d| self.now + SECOND < d.sent + row.repeat_window);
             let repeats = match row.effect {
                 Effect::Idempotent => true,
                 Effect::Tokened => row.scope == Scope::All && in_window,
                 Effect::NonIdempotent => false,
             };
-            if repeats && self.stated.may_cancel && inv.hops < self.stated.dispatch_limit {
-                let Some(inv) = self.invs.get_mut(&id) else { continue };
+            if self.d.parallel_dispatches {
+                if let Choice::Go { invoker, warm, finish, .. } = self.pick(id)
+                    && invoker != w
+                    && self.invs[&id].out.len() < 2
+                {
+                    self.dispatch(id, invoker, warm, finish, acts);
+                }
+            } else if repeats && self.d.may_cancel {
                 for d in inv.out.iter_mut().filter(|d| d.invoker == w) {
                     d.cancelled = true;
                     acts.cancel(id, d.hop);
