--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,9 +1,9 @@
 //! All decisions of a controller, every table and every tuned value. The interface is in `port.rs`.
 //!
-//! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (list of invokers),
+//! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (the invokers),
 //! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `probed`, `woken`. Each takes
-//! the time and an `Acts` through which the controller acts before the call returns. Same calls, same actions.
-//! The ordinary path is `plan` (pools, each second), `order` and `pick`; `docs/design.md` tells what was added.
+//! the time and an `Acts` through which the controller acts before it returns. Same calls, same actions.
+//! The ordinary path is `plan` (pools, each second), `order` and `pick`; `docs/design.md` tells what is added.
 
 use crate::port::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -47,7 +47,7 @@
 const SHUT_FULL: Tenths = 100 * MILLI;
 /// Share of recent dispatches that ended in errors from which an invoker counts as ill.
 const ERRORS_ILL: f64 = 0.4;
-/// An invoker that refuses for room is at least this slow; slowness fades in so many seconds unless seen again.
+/// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
 const FULL_SLOW: f64 = 3.0;
 const SLOW_FADES: f64 = 3.0;
 /// A fleet on which runs take this much longer than alone, on the mean, is jammed.
@@ -464,7 +464,7 @@
             Outcome::Succeeded => {
                 v.errors *= 0.8;
                 (v.shut_until, v.shut_for) = (0, 0);
-                // Only what was done counts: work sent in vain must not widen what cold invokers get (rule 4).
+                // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
@@ -577,7 +577,7 @@
         (self.d.cold_share + (1.0 - self.d.cold_share) * age).min(1.0)
     }
 
-    /// Rule 4: work that may still be sent now. What we got done an invoker of its size on the mean stands for
+    /// Rule 4: work that may still be sent now. What we got done, by size, stands for
     /// our part of its capacity: all controllers together never get done more than the fleet can do.
     fn cold_room(&self, v: &Invoker, fleet_size: f64) -> f64 {
         let risen = self.risen(v);
--- /dev/null
+++ b/tests/cases.rs
@@ -0,0 +1,155 @@
+//! Plain cases of the ordinary path, and one for each failure found.
+
+mod support;
+
+use saltdrum::port::*;
+use std::collections::BTreeSet;
+use support::*;
+
+/// Calls of one function that all succeed after their run time, at so many a second.
+fn traffic(bed: &mut Bed, function: FnId, a_second: u64, seconds: u64) {
+    for _ in 0..a_second * seconds {
+        bed.invoke(0, function, 4 * SECOND);
+        bed.pass(SECOND / a_second);
+        for (id, hop) in bed.out() {
+            if bed.k.now - bed.k.invs[&id].sent[hop].at >= RUN {
+                bed.answer(id, hop, Outcome::Succeeded, Some(Found::Warm));
+            }
+        }
+        while !bed.k.holds.is_empty() {
+            bed.held(0, HoldOutcome::Standing);
+        }
+    }
+}
+
+fn used(bed: &Bed, function: FnId, since: Tenths) -> BTreeSet<InvokerId> {
+    let of = bed.k.invs.values().filter(|t| t.call.function == function);
+    of.flat_map(|t| &t.sent).filter(|s| s.at >= since).map(|s| s.invoker).collect()
+}
+
+#[test]
+fn a_rare_function_sticks_to_one_invoker_and_a_hot_one_spreads() {
+    let mut bed = Bed::new(deployment(), 8);
+    traffic(&mut bed, 1, 2, 10);
+    assert_eq!(used(&bed, 1, 0).len(), 1);
+    let since = bed.k.now;
+    traffic(&mut bed, 1, 40, 5);
+    assert!(used(&bed, 1, since + SECOND).len() >= 3);
+}
+
+#[test]
+fn two_controllers_agree_on_the_home_of_a_function() {
+    for function in 0..20 {
+        let home = |invokers: &[u32]| {
+            let mut bed = Bed::new(deployment(), 0);
+            let entries: Vec<_> = invokers.iter().map(|w| listed(*w, Life::Ready, None)).collect();
+            bed.list(true, &entries);
+            traffic(&mut bed, function, 2, 1);
+            used(&bed, function, 0)
+        };
+        assert_eq!(home(&[1, 2, 3, 4, 5]), home(&[5, 3, 1, 2, 4]));
+    }
+}
+
+#[test]
+fn stale_own_instances_are_unloaded_only_before_a_load() {
+    let mut bed = Bed::new(deployment(), 1);
+    traffic(&mut bed, 1, 20, 3);
+    for _ in 0..16 {
+        // Renewed until forgotten; after that planned off, and kept while nothing else needs the room.
+        bed.pass(2 * SECOND);
+        while !bed.k.holds.is_empty() {
+            bed.held(0, HoldOutcome::Standing);
+        }
+    }
+    assert!(bed.k.unloads.is_empty());
+}
+
+#[test]
+fn a_renewal_comes_before_the_keep_alive_ends() {
+    let mut bed = Bed::new(deployment(), 4);
+    traffic(&mut bed, 1, 2, 2);
+    let last = bed.k.now;
+    bed.pass(7 * SECOND);
+    assert!(bed.k.holds.iter().any(|(_, f, at)| *f == 1 && *at < last + 8 * SECOND));
+}
+
+#[test]
+fn orders_keep_a_part_of_the_ration_for_misses() {
+    let mut d = deployment();
+    (d.misses, d.order_window, d.orders_free, d.orders_share) = (true, 5 * SECOND, 5.0, 0.0);
+    let mut bed = Bed::new(d, 6);
+    for function in 0..6 {
+        let id = bed.invoke(0, function, 4 * SECOND);
+        bed.answer(id, 0, Outcome::Miss, None);
+    }
+    // Five orders for six misses; the sixth waits for the ration and is sent no further dispatch.
+    assert_eq!(bed.k.holds.len(), 5);
+    bed.pass(SECOND);
+    assert_eq!(bed.k.holds.len(), 5);
+}
+
+/// Found as a lost invocation: the wait for the order ration ended after the client timeout.
+#[test]
+fn waiting_for_the_ration_ends_before_the_client_timeout() {
+    let mut d = deployment();
+    (d.misses, d.order_window, d.orders_free, d.orders_share) = (true, 5 * SECOND, 0.0, 0.0);
+    let mut bed = Bed::new(d, 3);
+    let id = bed.invoke(0, 1, 1_030 * MILLI);
+    bed.answer(id, 0, Outcome::Miss, None);
+    bed.pass(1_031 * MILLI);
+    assert_eq!(bed.k.invs[&id].finals, ["throttled"]);
+}
+
+/// Found as a cold invoker pushed over in an overload: dispatches in vain had widened its part.
+#[test]
+fn a_cold_invoker_gets_nothing_from_a_controller_that_got_nothing_done() {
+    let mut bed = Bed::new(deployment(), 2);
+    let now = bed.k.now;
+    bed.list(false, &[listed(2, Life::Ready, Some(now))]);
+    for function in 0..40 {
+        let id = bed.invoke(0, function, 4 * SECOND);
+        if !bed.k.invs[&id].sent.is_empty() {
+            bed.answer(id, 0, Outcome::Full, None);
+        }
+        bed.pass(150 * MILLI);
+    }
+    assert!(bed.k.invs.values().flat_map(|t| &t.sent).all(|s| s.invoker == 1));
+}
+
+#[test]
+fn a_non_idempotent_one_that_may_have_run_is_errored() {
+    let mut d = deployment();
+    d.trigger_types = vec![terms(Effect::NonIdempotent, Scope::All)];
+    let mut bed = Bed::new(d, 3);
+    let ids = [Outcome::Errored, Outcome::Reset].map(|end| {
+        let id = bed.invoke(0, 1, 4 * SECOND);
+        bed.answer(id, 0, end, None);
+        id
+    });
+    assert!(ids.iter().all(|id| bed.k.invs[id].finals == ["errored"]));
+    let id = bed.invoke(0, 1, 4 * SECOND);
+    bed.answer(id, 0, Outcome::NoConnection, None);
+    assert_eq!(bed.k.invs[&id].sent.len(), 2);
+}
+
+/// A hung invoker takes work and answers nothing: what waits there is moved well before the client timeout.
+#[test]
+fn work_moves_off_a_silent_invoker() {
+    let mut bed = Bed::new(deployment(), 4);
+    traffic(&mut bed, 1, 10, 5);
+    let id = bed.invoke(0, 1, 4 * SECOND);
+    let hung = bed.k.invs[&id].sent[0].invoker;
+    bed.pass(2 * SECOND);
+    let sent = &bed.k.invs[&id].sent;
+    assert!(sent.len() > 1 && sent[1].invoker != hung && sent[1].at < sent[0].at + 2 * SECOND);
+}
+
+/// Given up on is answered at once, with a time to come back.
+#[test]
+fn nobody_to_send_to_is_throttled_at_once() {
+    let mut bed = Bed::new(deployment(), 0);
+    let id = bed.invoke(0, 1, 4 * SECOND);
+    assert_eq!(bed.k.invs[&id].finals, ["throttled"]);
+    assert!(bed.k.come_back[0] > 0);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,111 @@
+//! Seeded random runs over deployments of several shapes; the five rules are checked after every step.
+
+mod support;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use saltdrum::port::*;
+use support::*;
+
+fn shape(bits: u8) -> Deployment {
+    let on = |bit: u8| bits & (1 << bit) != 0;
+    let mut d = deployment();
+    d.trigger_types = vec![
+        terms(Effect::Idempotent, Scope::All),
+        terms(Effect::Tokened, if on(0) { Scope::All } else { Scope::Zone }),
+        terms(Effect::Tokened, Scope::Cell),
+        terms(Effect::NonIdempotent, Scope::All),
+    ];
+    d.parallel_dispatches = on(1);
+    d.misses = on(2);
+    d.may_cancel = on(3);
+    d.controllers = if on(4) { 4 } else { 1 };
+    if on(5) {
+        (d.order_window, d.orders_free, d.orders_share) = (5 * SECOND, 3.0, 0.1);
+    }
+    d
+}
+
+const ENDS: [Outcome; 8] = [
+    Outcome::Succeeded,
+    Outcome::Succeeded,
+    Outcome::Errored,
+    Outcome::Full,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Miss,
+    Outcome::Succeeded,
+];
+const HOLD_ENDS: [HoldOutcome; 4] =
+    [HoldOutcome::Standing, HoldOutcome::Standing, HoldOutcome::NoRoom, HoldOutcome::Unreachable];
+
+fn step(bed: &mut Bed, kind: u8, r: u32) {
+    let n = r as usize;
+    match kind {
+        0..=7 => {
+            let patience = [300 * MILLI, 2 * SECOND, 4 * SECOND][n % 3];
+            bed.invoke(n % 4, u64::from(r / 4 % 9), patience);
+        }
+        8..=15 => {
+            let out = bed.out();
+            let Some((id, hop)) = out.get(n % out.len().max(1)) else { return };
+            let found = [None, Some(Found::Warm), Some(Found::BeganLoad)][n % 3];
+            bed.answer(*id, *hop, ENDS[n / 7 % ENDS.len()], found);
+        }
+        16..=18 if !bed.k.holds.is_empty() => bed.held(n % bed.k.holds.len(), HOLD_ENDS[n / 5 % 4]),
+        19..=25 => bed.pass(Tenths::from(r % 1500)),
+        26 => {
+            let w = 1 + r % 6;
+            let started = bed.k.list[&w].0.started;
+            let (life, started) = match n / 6 % 4 {
+                0 => (Life::Draining, started),
+                1 => (Life::Gone, started),
+                _ => (Life::Ready, Some(bed.k.now - Tenths::from(r % 2) * SECOND)),
+            };
+            bed.list(false, &[listed(w, life, started)]);
+        }
+        27 => {
+            let ready = |w: &u32| (n >> w) & 1 == 0;
+            let entries: Vec<Listed> = (1..=6).filter(ready).map(|w| bed.k.list[&w].0).collect();
+            bed.list(true, &entries);
+        }
+        28 => {
+            let open = |(_, t): &(&InvId, &Taken)| t.finals.is_empty() && !t.gone;
+            let open: Vec<InvId> = bed.k.invs.iter().filter(open).map(|(id, _)| *id).collect();
+            if !open.is_empty() {
+                bed.leave(open[n % open.len()]);
+            }
+        }
+        // A quiet spell in which nobody answers, so that silence is noticed and work moved.
+        _ => bed.pass(SECOND),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_after_every_step(bits in 0u8..64, steps in prop::collection::vec((0u8..31, any::<u32>()), 50..400)) {
+        let mut bed = Bed::new(shape(bits), 6);
+        for (kind, r) in steps {
+            step(&mut bed, kind, r);
+        }
+        bed.pass(6 * SECOND);
+    }
+
+    #[test]
+    fn same_calls_same_actions(bits in 0u8..64, steps in prop::collection::vec((0u8..31, any::<u32>()), 50..150)) {
+        let run = || {
+            let mut bed = Bed::new(shape(bits), 6);
+            steps.iter().for_each(|(kind, r)| step(&mut bed, *kind, *r));
+            let sent = |t: &Taken| t.sent.iter().map(|s| (s.invoker, s.at)).collect::<Vec<_>>();
+            (bed.k.invs.values().map(sent).collect::<Vec<_>>(), bed.k.wakes, bed.k.holds)
+        };
+        prop_assert_eq!(run(), run());
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,336 @@
+//! A stand-in for the host that checks the five rules on every act. It shares no code with the module.
+#![allow(dead_code)]
+
+use saltdrum::Controller;
+use saltdrum::port::*;
+use std::collections::BTreeMap;
+
+pub const RUN: Tenths = 150 * MILLI;
+const CORES: f64 = 4.0;
+const SLACK: Tenths = 16 * MILLI;
+
+pub struct Sent {
+    pub invoker: InvokerId,
+    pub at: Tenths,
+    pub ended: Option<Outcome>,
+}
+
+pub struct Taken {
+    pub call: Invocation,
+    pub sent: Vec<Sent>,
+    /// How often it got a final answer, and whether that was a success, a throttle or an error.
+    pub finals: Vec<&'static str>,
+    pub gone: bool,
+}
+
+/// What the controller did, checked as it does it.
+pub struct Checker {
+    pub now: Tenths,
+    pub stated: Deployment,
+    pub invs: BTreeMap<InvId, Taken>,
+    pub list: BTreeMap<InvokerId, (Listed, Tenths)>,
+    pub holds: Vec<(InvokerId, FnId, Tenths)>,
+    pub unloads: Vec<(InvokerId, FnId)>,
+    pub cancels: Vec<(InvId, u8)>,
+    pub wakes: Vec<(Tenths, u64)>,
+    pub come_back: Vec<Tenths>,
+    ordered: Vec<Tenths>,
+    taken: Vec<Tenths>,
+    work: Vec<(InvokerId, Tenths)>,
+}
+
+impl Checker {
+    fn may_be_told(&self, w: InvokerId) {
+        let (listed, told) = &self.list[&w];
+        let late = listed.life != Life::Ready && self.now > told + self.stated.drain_grace;
+        assert!(!late, "rule 3: new work to {w}, {:?} since {told}, now {}", listed.life, self.now);
+    }
+
+    /// Rule 2 for whatever is done next with an invocation that may have been dispatched before.
+    fn harmless(&self, id: InvId, to: Option<InvokerId>) {
+        let taken = &self.invs[&id];
+        let terms = &self.stated.trigger_types[taken.call.trigger];
+        let risky: Vec<&Sent> =
+            taken.sent.iter().filter(|s| !s.ended.is_some_and(|end| end.never_ran())).collect();
+        let Some(first) = risky.iter().map(|s| s.at).min() else { return };
+        let group = |w: InvokerId| match terms.scope {
+            Scope::All => 0,
+            Scope::Zone => u32::from(self.list[&w].0.zone),
+            Scope::Cell => u32::from(self.list[&w].0.cell),
+        };
+        match (terms.effect, to) {
+            (Effect::Idempotent, _) => {}
+            (Effect::NonIdempotent, _) => panic!("rule 2: {id} may have run and is sent or throttled"),
+            (Effect::Tokened, None) => assert_eq!(terms.scope, Scope::All, "rule 2: {id} throttled"),
+            (Effect::Tokened, Some(w)) => {
+                assert!(risky.iter().all(|s| group(s.invoker) == group(w)), "rule 2: {id} left its group");
+                assert!(self.now <= first + terms.repeat_window, "rule 2: {id} past its window");
+            }
+        }
+    }
+
+    fn finish(&mut self, id: InvId, how: &'static str) {
+        let taken = self.invs.get_mut(&id).expect("an invocation taken");
+        assert!(!taken.gone, "rule 1: answer for {id}, whose client had left");
+        taken.finals.push(how);
+        assert_eq!(taken.finals.len(), 1, "rule 1: {id} answered again");
+    }
+
+    /// What must hold whenever the controller has had its turn.
+    pub fn check(&self) {
+        for (id, t) in &self.invs {
+            let owed = t.finals.is_empty() && !t.gone;
+            assert!(!owed || self.now <= t.call.expires + SLACK, "rule 1: {id} has no answer");
+        }
+    }
+}
+
+impl Acts for Checker {
+    fn dispatch(&mut self, id: InvId, w: InvokerId, _time_out: Tenths) {
+        self.may_be_told(w);
+        self.harmless(id, Some(w));
+        let out = |t: &Taken| t.sent.iter().filter(|s| s.ended.is_none()).count();
+        let t = &self.invs[&id];
+        assert!(t.finals.is_empty() && !t.gone, "rule 1: {id} sent after its end");
+        assert!(self.stated.parallel_dispatches || out(t) == 0, "rule 2: {id} out twice at once");
+        assert!(t.sent.len() < usize::from(self.stated.dispatch_limit), "{id} sent too often");
+        self.invs.get_mut(&id).unwrap().sent.push(Sent { invoker: w, at: self.now, ended: None });
+        self.work.push((w, self.now));
+        let Some(started) = self.list[&w].0.started else { return };
+        let d = &self.stated;
+        let age = ((self.now - started) as f64 / d.cold_time as f64).min(1.0);
+        if age < 1.0 {
+            let risen = d.cold_share + (1.0 - d.cold_share) * age;
+            let part = CORES * d.tip_window as f64 / f64::from(d.controllers);
+            let recent = |(v, at): &&(InvokerId, Tenths)| *v == w && at + d.tip_window > self.now;
+            let work = self.work.iter().filter(recent).count() as f64 * RUN as f64;
+            assert!(work <= d.tip_factor * risen * part, "rule 4: {work} of work to cold {w}, {risen} risen");
+        }
+    }
+
+    fn throttle(&mut self, id: InvId, come_back: Tenths) {
+        self.harmless(id, None);
+        self.come_back.push(come_back);
+        self.finish(id, "throttled");
+    }
+
+    fn error(&mut self, id: InvId) {
+        self.finish(id, "errored");
+    }
+
+    fn cancel(&mut self, id: InvId, hop: u8) {
+        assert!(self.stated.may_cancel && usize::from(hop) < self.invs[&id].sent.len());
+        self.cancels.push((id, hop));
+    }
+
+    fn hold(&mut self, w: InvokerId, function: FnId, count: u8) {
+        assert!(self.stated.may_order);
+        if count > 0 {
+            self.may_be_told(w);
+            self.ordered.push(self.now);
+            let recent = |at: &&Tenths| **at + self.stated.order_window > self.now;
+            let orders = self.ordered.iter().filter(recent).count() as f64;
+            let taken = self.taken.iter().filter(recent).count() as f64;
+            let most = self.stated.orders_free + self.stated.orders_share * taken;
+            assert!(
+                self.stated.order_window == 0 || orders <= most,
+                "rule 5: {orders} orders, {most} allowed"
+            );
+        }
+        self.holds.push((w, function, self.now));
+    }
+
+    fn unload(&mut self, w: InvokerId, function: FnId) {
+        self.unloads.push((w, function));
+    }
+    fn probe(&mut self, _: InvokerId) {
+        assert!(self.stated.may_probe);
+    }
+    fn wake(&mut self, at: Tenths, token: u64) {
+        self.wakes.push((at, token));
+    }
+    fn note(&mut self, _: &str) {}
+}
+
+/// A controller and what it is told, one thing at a time.
+pub struct Bed {
+    pub c: Controller,
+    pub k: Checker,
+    next: InvId,
+}
+
+pub fn terms(effect: Effect, scope: Scope) -> TriggerType {
+    TriggerType {
+        objective: SECOND,
+        client_timeout: 4 * SECOND,
+        effect,
+        scope,
+        repeat_window: 2 * SECOND,
+        billed_value: 1.0,
+        late_share: 0.2,
+    }
+}
+
+pub fn deployment() -> Deployment {
+    Deployment {
+        controllers: 2,
+        zone: 0,
+        trigger_types: vec![terms(Effect::Idempotent, Scope::All)],
+        tenants: vec![],
+        over_share_value: 0.2,
+        kind_memory: vec![10_000.0],
+        dispatch_limit: 4,
+        parallel_dispatches: false,
+        may_cancel: true,
+        may_probe: true,
+        may_order: true,
+        misses: false,
+        keep_alive: 8 * SECOND,
+        come_back_max: Some(SECOND),
+        tick: MILLI,
+        order_window: 0,
+        orders_free: 0.0,
+        orders_share: 0.0,
+        drain_grace: 250 * MILLI,
+        cold_share: 0.2,
+        cold_time: 15 * SECOND,
+        tip_factor: 2.0,
+        tip_window: 2 * SECOND,
+    }
+}
+
+pub fn listed(invoker: InvokerId, life: Life, started: Option<Tenths>) -> Listed {
+    let zone = (invoker % 3) as u8;
+    Listed { invoker, zone, kind: 0, cell: u16::from(zone), life, size: 1.0, started }
+}
+
+impl Bed {
+    pub fn new(stated: Deployment, invokers: u32) -> Self {
+        let now = 100 * SECOND;
+        let (list, invs) = (BTreeMap::new(), BTreeMap::new());
+        let mut k = Checker {
+            now,
+            stated: stated.clone(),
+            invs,
+            list,
+            holds: vec![],
+            unloads: vec![],
+            cancels: vec![],
+            wakes: vec![],
+            come_back: vec![],
+            ordered: vec![],
+            taken: vec![],
+            work: vec![],
+        };
+        let c = Controller::new(now, stated, 7, &mut k);
+        let mut bed = Self { c, k, next: 0 };
+        let all: Vec<Listed> = (1..=invokers).map(|w| listed(w, Life::Ready, None)).collect();
+        bed.list(true, &all);
+        bed
+    }
+
+    pub fn list(&mut self, whole: bool, entries: &[Listed]) {
+        let now = self.k.now;
+        if whole {
+            let kept = |w: &InvokerId| entries.iter().any(|l| l.invoker == *w);
+            for (w, (l, told)) in &mut self.k.list {
+                if !kept(w) && l.life == Life::Ready {
+                    (l.life, *told) = (Life::Gone, now);
+                }
+            }
+        }
+        for l in entries {
+            let same =
+                self.k.list.get(&l.invoker).filter(|(old, _)| old.life == l.life).map(|(_, told)| *told);
+            self.k.list.insert(l.invoker, (*l, same.unwrap_or(now)));
+        }
+        self.c.listed(now, whole, entries);
+    }
+
+    pub fn invoke(&mut self, trigger: usize, function: FnId, patience: Tenths) -> InvId {
+        self.next += 1;
+        let (id, now) = (self.next, self.k.now);
+        let call = Invocation {
+            id,
+            trigger,
+            tenant: 0,
+            function,
+            expires: now + patience,
+            work_hint: None,
+            memory: 100.0,
+            lanes: 2.0,
+            load_hint: Some(SECOND),
+        };
+        self.k.taken.push(now);
+        self.k.invs.insert(id, Taken { call: call.clone(), sent: vec![], finals: vec![], gone: false });
+        self.c.invoked(now, call, &mut self.k);
+        self.k.check();
+        id
+    }
+
+    pub fn answer(&mut self, id: InvId, hop: usize, outcome: Outcome, found: Option<Found>) {
+        let now = self.k.now;
+        let t = self.k.invs.get_mut(&id).unwrap();
+        t.sent[hop].ended = Some(outcome);
+        let (invoker, took) = (t.sent[hop].invoker, now - t.sent[hop].at);
+        let open = t.finals.is_empty() && !t.gone;
+        if outcome == Outcome::Succeeded && open {
+            t.finals.push("succeeded");
+        }
+        let finished = !open || outcome == Outcome::Succeeded;
+        let (hop, report) = (hop as u8, Report::default());
+        let a = Answer { inv: id, invoker, hop, finished, outcome, found, crowd: None, took, report };
+        self.c.answered(now, a, &mut self.k);
+        self.k.check();
+    }
+
+    pub fn held(&mut self, i: usize, outcome: HoldOutcome) {
+        let (invoker, function, at) = self.k.holds.remove(i);
+        let took = self.k.now - at;
+        let a = HoldAnswer { invoker, function, outcome, standing: 1, took };
+        self.c.held(self.k.now, a, &mut self.k);
+        self.k.check();
+    }
+
+    pub fn leave(&mut self, id: InvId) {
+        self.k.invs.get_mut(&id).unwrap().gone = true;
+        self.c.left(self.k.now, id);
+    }
+
+    /// Dispatches that are out, oldest first.
+    pub fn out(&self) -> Vec<(InvId, usize)> {
+        let of = |(id, t): (&InvId, &Taken)| {
+            let open = t.sent.iter().enumerate().filter(|(_, s)| s.ended.is_none());
+            open.map(|(hop, s)| (s.at, *id, hop)).collect::<Vec<_>>()
+        };
+        let mut all: Vec<_> = self.k.invs.iter().flat_map(of).collect();
+        all.sort_unstable();
+        all.into_iter().map(|(_, id, hop)| (id, hop)).collect()
+    }
+
+    /// Lets time pass: timers fire, dispatches end with the client timeout, cancelled ones as cancelled.
+    pub fn pass(&mut self, time: Tenths) {
+        let end = self.k.now + time;
+        while self.k.now < end {
+            self.k.now = (self.k.now + 4 * MILLI).min(end);
+            let now = self.k.now;
+            let (due, later) = std::mem::take(&mut self.k.wakes).into_iter().partition(|(at, _)| *at <= now);
+            self.k.wakes = later;
+            let due: Vec<(Tenths, u64)> = due;
+            for (_, token) in due {
+                self.c.woken(now, token, &mut self.k);
+            }
+            for (id, hop) in std::mem::take(&mut self.k.cancels) {
+                if self.k.invs[&id].sent[usize::from(hop)].ended.is_none() {
+                    self.answer(id, hop.into(), Outcome::Cancelled, None);
+                }
+            }
+            for (id, hop) in self.out() {
+                if self.k.invs[&id].call.expires <= now {
+                    self.answer(id, hop, Outcome::TimedOut, None);
+                }
+            }
+            self.k.check();
+        }
+    }
+}
