--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -145,11 +145,11 @@
                 self.guard(id, |w| c.answered(now, answer, w))
             }
             8 => {
-                let took = f.time("time_taken_ms")?;
+                f.time("time_taken_ms")?;
                 let invoker = f.u32("invoker")?;
                 let ok = outcome(f.u8("result")?)? == Outcome::Succeeded;
-                let report = read_report(f, report)?;
-                self.guard(id, |_| c.probed(now, invoker, ok, took, report))
+                f.values()?;
+                self.guard(id, |w| c.probed(now, invoker, ok, w))
             }
             9 => {
                 let inv = read_invocation(f, c.trigger_types())?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,9 +23,11 @@
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
 /// Planned orders leave the rest of the order ration to misses.
-const PLANNED_RATION: f64 = 0.6;
+const PLANNED_RATION: f64 = 0.4;
 /// A failed load is not repeated at the same place for this long.
 const LOAD_COOLDOWN: Tenths = 3 * SECOND;
+/// An order is given up on this long after a standing copy, or twice a load, would have answered.
+const ORDER_LATE: Tenths = 300 * MILLI;
 /// After a miss the place counts as lacking the function for this long, and an invocation that cannot order
 /// it there asks again this often.
 const LACKS: Tenths = 4 * SECOND;
@@ -40,6 +42,9 @@
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
+/// From here on an invoker is probed; a probe that fails counts as silence, one that passes proves little.
+const PHI_ASK: f64 = 1.0;
+const PROBE_EVERY: Tenths = 500 * MILLI;
 const GAP_FLOOR: f64 = 30.0 * MILLI as f64;
 /// An ill invoker is shut for a time that doubles while it stays ill; one that refuses for room, shortly.
 const SHUT_FIRST: Tenths = 500 * MILLI;
@@ -56,7 +61,7 @@
 const OVER_SHARE: f64 = 0.2;
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
-const COLD_MARGIN: f64 = 0.6;
+const COLD_MARGIN: f64 = 0.8;
 /// A final answer is given this long before the client timeout.
 const LAST_CALL: Tenths = 10 * MILLI;
 
@@ -109,6 +114,9 @@
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
+    /// When it was last probed, until when that is owed, and whether a probe has passed since it was shut.
+    probed: Tenths,
+    proved: bool,
     /// What was sent to it in the tipping window: when, and how much work.
     sent: VecDeque<(Tenths, f64)>,
 }
@@ -119,7 +127,9 @@
     warm: bool,
     touched: Tenths,
     loading: Option<Tenths>,
-    ordered: bool,
+    ordered: Option<Tenths>,
+    /// The order's answer is long overdue: nobody waits for it any more.
+    overdue: bool,
     waiting: Vec<Next>,
     placed: bool,
     off_since: Option<Tenths>,
@@ -217,8 +227,8 @@
 impl Invoker {
     fn new(listed: Listed, now: Tenths) -> Self {
         let (out, out_work, gap, slow, errors) = (0, 0.0, GAP_FLOOR, (1.0, now), 0.0);
-        let (heard, shut_until, shut_for, sent) = (now, 0, 0, VecDeque::new());
-        Self { listed, out, out_work, heard, gap, slow, errors, shut_until, shut_for, sent }
+        let (heard, shut_until, shut_for, sent, probed, proved) = (now, 0, 0, VecDeque::new(), 0, false);
+        Self { listed, out, out_work, heard, gap, slow, errors, shut_until, shut_for, probed, proved, sent }
     }
 
     fn ready(&self) -> bool {
@@ -229,15 +239,16 @@
         1.0 + (self.slow.0 - 1.0) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
     }
 
-    /// One whose shut time is over gets a single invocation, whose answer decides.
+    /// One whose shut time is over gets, after a probe has passed, a single invocation, whose answer decides.
     fn well(&self, now: Tenths) -> bool {
-        now >= self.shut_until && (self.shut_for == 0 || self.out == 0)
+        now >= self.shut_until && (self.shut_for == 0 || (self.proved && self.out == 0))
     }
 
     fn shut(&mut self, now: Tenths) {
         if now >= self.shut_until {
             self.shut_for = (2 * self.shut_for).clamp(SHUT_FIRST, SHUT_MOST);
             self.shut_until = now + self.shut_for;
+            self.proved = false;
         }
     }
 }
@@ -614,7 +625,8 @@
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
         for w in &f.order {
             let (v, p) = (&self.invokers[w], f.places.get(w));
-            let cooling = self.d.misses && p.is_some_and(|p| now < p.cooldown);
+            let warm = f.warm(*w, now, self.d.keep_alive);
+            let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown || p.overdue);
             let barred = cooling || inv.tried.contains(w) || !self.may_send(inv, *w);
             if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run {
                 continue;
@@ -623,7 +635,6 @@
                 break;
             }
             let out = p.map_or(0.0, |p| f64::from(p.out));
-            let warm = f.warm(*w, now, self.d.keep_alive);
             let load = match p.and_then(|p| p.loading) {
                 _ if warm => 0.0,
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
@@ -635,7 +646,7 @@
             let finish = load + slow * alone + queue;
             shortest = shortest.min(usual);
             below_target |= out < f.lanes && usual < TARGET * f.run;
-            let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
+            let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered.is_some() && !p.overdue);
             best.push((finish as u64 / MILLI, *w, warm, awaited));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
@@ -663,7 +674,9 @@
         self.later(self.now + PLAN_EVERY, acts, |c, acts| c.plan(acts));
         let (now, keep, tip) = (self.now, self.d.keep_alive, self.d.tip_window);
         for f in self.functions.values_mut() {
-            f.places.retain(|_, p| p.out > 0 || p.ordered || now < p.touched + keep || now < p.cooldown);
+            f.places.retain(|_, p| {
+                p.out > 0 || p.ordered.is_some() || now < p.touched + keep || now < p.cooldown
+            });
         }
         self.functions.retain(|_, f| now < f.called + 2 * FORGET || !f.places.is_empty());
         let window = self.d.order_window.max(SECOND);
@@ -746,10 +759,10 @@
         let Some(f) = self.functions.get_mut(&fid) else { return false };
         let warm = f.warm(w, now, self.d.keep_alive);
         let p = f.places.entry(w).or_default();
-        if p.ordered || now < p.cooldown {
+        if p.ordered.is_some() || now < p.cooldown {
             return false;
         }
-        (p.ordered, p.placed) = (true, true);
+        (p.ordered, p.overdue, p.placed) = (Some(now), false, true);
         if !warm {
             p.loading = Some(now);
             self.make_room(w, fid, acts);
@@ -765,7 +778,7 @@
         for (g, f) in self.functions.iter_mut().filter(|(g, _)| self.d.may_order && **g != fid) {
             let Some(p) = f.places.get_mut(&w) else { continue };
             let stale = p.off_since.is_some_and(|since| self.now >= since + DWELL);
-            if p.placed && p.warm && stale && p.out == 0 && !p.ordered {
+            if p.placed && p.warm && stale && p.out == 0 && p.ordered.is_none() {
                 (p.warm, p.placed) = (false, false);
                 acts.unload(w, *g);
             }
@@ -777,7 +790,7 @@
         self.orders_out = self.orders_out.saturating_sub(1);
         let Some(f) = self.functions.get_mut(&a.function) else { return };
         let p = f.places.entry(a.invoker).or_default();
-        (p.ordered, p.loading, p.lacks_until) = (false, None, 0);
+        (p.ordered, p.loading, p.lacks_until) = (None, None, 0);
         p.warm = a.outcome == HoldOutcome::Standing;
         if p.warm {
             p.touched = p.touched.max(now - a.took);
@@ -786,14 +799,24 @@
             (p.cooldown, p.placed) = (now + LOAD_COOLDOWN, false);
         }
         let waiting = std::mem::take(&mut p.waiting);
-        if let (HoldOutcome::Unreachable, Some(v)) = (a.outcome, self.invokers.get_mut(&a.invoker)) {
-            v.shut(now);
+        if let Some(v) = self.invokers.get_mut(&a.invoker) {
+            match a.outcome {
+                HoldOutcome::Unreachable => v.shut(now),
+                HoldOutcome::TimedOut => {}
+                _ => v.heard = now,
+            }
         }
         waiting.into_iter().for_each(|then| then(self, acts));
     }
 
-    pub fn probed(&mut self, now: Tenths, _w: InvokerId, _ok: bool, _took: Tenths, _report: Report) {
+    pub fn probed(&mut self, now: Tenths, w: InvokerId, ok: bool, acts: &mut dyn Acts) {
         self.now = now;
+        let Some(v) = self.invokers.get_mut(&w) else { return };
+        v.proved = ok;
+        if !ok {
+            v.shut(now);
+            self.move_off(w, acts);
+        }
     }
 
     /// Looks for unusual silence, and moves what waits at a silent invoker where a repeat does no harm.
@@ -803,16 +826,47 @@
         for d in self.invs.values().flat_map(|inv| &inv.out) {
             due.entry(d.invoker).and_modify(|at| *at = d.due.min(*at)).or_insert(d.due);
         }
+        self.give_up_orders(acts);
+        for (w, v) in &self.invokers {
+            if v.shut_for > 0 {
+                due.entry(*w).or_insert(Tenths::MAX);
+            }
+        }
         for (w, due) in due {
             let Some(v) = self.invokers.get_mut(&w) else { continue };
-            let silence = self.now.saturating_sub(v.heard.max(due)) as f64;
-            if silence / v.gap / std::f64::consts::LN_10 > PHI {
+            let phi = self.now.saturating_sub(v.heard.max(due)) as f64 / v.gap / std::f64::consts::LN_10;
+            let ask = phi > PHI_ASK || (v.shut_for > 0 && self.now >= v.shut_until);
+            if ask && self.d.may_probe && v.ready() && self.now >= v.probed + PROBE_EVERY {
+                v.probed = self.now;
+                acts.probe(w);
+            }
+            v.proved |= !self.d.may_probe;
+            if phi > PHI {
                 v.shut(self.now);
                 self.move_off(w, acts);
             }
         }
     }
 
+    /// An order that is lost, as across a cut link, is answered only after its long time-out: an invoker not heard
+    /// of since counts as silent, and who waits goes elsewhere. A slow store may look alike for loads: hence twice.
+    fn give_up_orders(&mut self, acts: &mut dyn Acts) {
+        let (now, keep, mut waiting) = (self.now, self.d.keep_alive, Vec::new());
+        for f in self.functions.values_mut() {
+            let load = 2 * f.load() as Tenths;
+            for (w, p) in &mut f.places {
+                let wait = ORDER_LATE + if p.loading.is_some() { load } else { 0 };
+                let Some(at) = p.ordered.filter(|at| !p.overdue && now > at + wait) else { continue };
+                (p.overdue, p.loading, p.warm) = (true, None, p.warm && now < p.touched + keep && p.out > 0);
+                waiting.append(&mut p.waiting);
+                if let Some(v) = self.invokers.get_mut(w).filter(|v| v.heard < at) {
+                    v.shut(now);
+                }
+            }
+        }
+        waiting.into_iter().for_each(|then| then(self, acts));
+    }
+
     fn move_off(&mut self, w: InvokerId, acts: &mut dyn Acts) {
         let late = |d: &Dispatch| d.invoker == w && d.due < self.now && !d.cancelled;
         let stuck = |inv: &Inv| !inv.done && inv.out.iter().any(late) && inv.hops < self.d.dispatch_limit;
