--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,8 @@
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.8;
+/// Part of the objective after which a throttled client may come back: a retry at once may still be in time.
+const COME_BACK: Tenths = 8;
 /// A final answer is given this long before the client timeout.
 const LAST_CALL: Tenths = 10 * MILLI;
 
@@ -381,7 +383,7 @@
     fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_empty()) else { return };
         if self.may_throttle(inv) {
-            let wait = self.rows[inv.call.trigger].stated.objective / 2;
+            let wait = self.rows[inv.call.trigger].stated.objective / COME_BACK;
             acts.throttle(id, self.d.come_back_max.map_or(0, |most| wait.min(most)));
         } else {
             acts.error(id);
@@ -506,6 +508,10 @@
                 v.shut(now);
                 self.forget_copies(w);
             }
+            Outcome::TimedOut | Outcome::Cancelled => {
+                let (slow, ratio) = (v.slow(now), (took / d.run.max(1.0)).min(10.0));
+                v.slow = (slow + 0.1 * (ratio - slow).max(0.0), now);
+            }
             Outcome::Full => {
                 v.slow = (v.slow(now).max(FULL_SLOW), now);
                 v.shut_until = v.shut_until.max(now + SHUT_FULL);
