--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -10,6 +10,7 @@
 struct Instance {
     controller: Controller,
     report: Vec<String>,
+    trigger_types: usize,
 }
 
 #[derive(Default)]
@@ -82,9 +83,10 @@
             let seed = f.u64("seed")?;
             let n = f.u32("length of info")?;
             let Stated { deployment, report } = info::read(f.take(n as usize, "info")?)?;
+            let trigger_types = deployment.trigger_types.len();
             let controller = self.guard(id, |w| Controller::new(now, deployment, seed, w));
             if let Some(controller) = controller {
-                self.instances.insert(id, Instance { controller, report });
+                self.instances.insert(id, Instance { controller, report, trigger_types });
             }
             return Ok(());
         }
@@ -108,7 +110,7 @@
         id: u32,
         instance: &mut Instance,
     ) -> Result<bool, Fault> {
-        let Instance { controller: c, report } = instance;
+        let Instance { controller: c, report, trigger_types } = instance;
         let done = match code {
             2 => {
                 let token = f.u64("cookie")?;
@@ -152,7 +154,7 @@
                 self.guard(id, |w| c.probed(now, invoker, ok, w))
             }
             9 => {
-                let inv = read_invocation(f, c.trigger_types())?;
+                let inv = read_invocation(f, *trigger_types)?;
                 self.guard(id, |w| c.invoked(now, inv, w))
             }
             _ => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -67,6 +67,9 @@
 /// A final answer is given this long before the client timeout.
 const LAST_CALL: Tenths = 10 * MILLI;
 
+/// Odd, to spread function ids over all bits before an invoker's id is mixed in.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// What to do when a step of an invocation, an order or a timer has ended.
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 
@@ -104,6 +107,7 @@
     done: bool,
 }
 
+#[derive(Default)]
 struct Invoker {
     listed: Listed,
     out: u32,
@@ -160,12 +164,10 @@
 }
 
 enum Choice {
-    /// `spread`: where a further copy would end it earlier still.
     Go {
         invoker: InvokerId,
         warm: bool,
         finish: f64,
-        spread: Option<InvokerId>,
     },
     /// A load that we ordered is under way there.
     Await(InvokerId),
@@ -174,6 +176,7 @@
     Nobody,
 }
 
+#[derive(Default)]
 pub struct Controller {
     now: Tenths,
     d: Deployment,
@@ -194,12 +197,6 @@
     tenants: Vec<(f64, Tenths)>,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 fn decay(dt: Tenths, span_s: f64) -> f64 {
     (-(dt as f64) / (span_s * SECOND as f64)).exp()
 }
@@ -227,12 +224,6 @@
 }
 
 impl Invoker {
-    fn new(listed: Listed, now: Tenths) -> Self {
-        let (out, out_work, gap, slow, errors) = (0, 0.0, GAP_FLOOR, (1.0, now), 0.0);
-        let (heard, shut_until, shut_for, sent, probed, proved) = (now, 0, 0, VecDeque::new(), 0, false);
-        Self { listed, out, out_work, heard, gap, slow, errors, shut_until, shut_for, probed, proved, sent }
-    }
-
     fn ready(&self) -> bool {
         self.listed.life == Life::Ready
     }
@@ -264,26 +255,15 @@
             rows: d.trigger_types.iter().map(row).collect(),
             tenants: d.tenants.iter().map(|t| (t.quota / f64::from(d.controllers), now)).collect(),
             d,
-            invokers: BTreeMap::new(),
-            list_version: 1,
-            functions: BTreeMap::new(),
-            invs: BTreeMap::new(),
-            timers: BTreeMap::new(),
-            token: 0,
-            taken: VecDeque::new(),
-            orders: VecDeque::new(),
-            orders_out: 0,
             work_rate: (0.0, now),
+            list_version: 1,
+            ..Default::default()
         };
         c.plan(acts);
         c.look(acts);
         c
     }
 
-    pub fn trigger_types(&self) -> usize {
-        self.rows.len()
-    }
-
     pub fn listed(&mut self, now: Tenths, whole: bool, entries: &[Listed]) {
         self.now = now;
         self.list_version += 1;
@@ -291,7 +271,13 @@
             self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
         }
         for l in entries {
-            let v = self.invokers.entry(l.invoker).or_insert_with(|| Invoker::new(*l, now));
+            let v = self.invokers.entry(l.invoker).or_insert_with(|| Invoker {
+                listed: *l,
+                heard: now,
+                gap: GAP_FLOOR,
+                slow: (1.0, now),
+                ..Default::default()
+            });
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
             if restarted {
@@ -349,40 +335,34 @@
         }
     }
 
-    /// Rule 2: whether a further dispatch to `w` can do no harm.
-    fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
-        if inv.hops >= self.d.dispatch_limit || (!inv.out.is_empty() && !self.d.parallel_dispatches) {
-            return false;
-        }
+    /// Rule 2: whether sending it to `to` at `at`, or without `to` throttling it, can do no harm.
+    fn harmless(&self, inv: &Inv, to: Option<InvokerId>, at: Tenths) -> bool {
         let row = &self.rows[inv.call.trigger].stated;
         let out = inv.out.iter().map(|d| (d.sent, d.invoker)).min();
-        let Some((sent, at)) = inv.may_have_run.into_iter().chain(out).min() else { return true };
-        let (a, b) = (&self.invokers[&at].listed, &self.invokers[&w].listed);
+        let Some((sent, first)) = inv.may_have_run.into_iter().chain(out).min() else { return true };
+        let (a, b) = (&self.invokers[&first].listed, to.map(|w| &self.invokers[&w].listed));
         let same = match row.scope {
             Scope::All => true,
-            Scope::Zone => a.zone == b.zone,
-            Scope::Cell => a.cell == b.cell,
+            Scope::Zone => b.is_some_and(|b| a.zone == b.zone),
+            Scope::Cell => b.is_some_and(|b| a.cell == b.cell),
         };
         match row.effect {
             Effect::Idempotent => true,
-            Effect::Tokened => same && self.now + self.d.tick < sent + row.repeat_window,
+            Effect::Tokened => same && at < sent + row.repeat_window,
             Effect::NonIdempotent => false,
         }
     }
 
-    fn may_throttle(&self, inv: &Inv) -> bool {
-        let row = &self.rows[inv.call.trigger].stated;
-        match row.effect {
-            Effect::Idempotent => true,
-            Effect::Tokened if row.scope == Scope::All => true,
-            _ => inv.may_have_run.is_none() && inv.out.is_empty(),
-        }
+    fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
+        inv.hops < self.d.dispatch_limit
+            && (inv.out.is_empty() || self.d.parallel_dispatches)
+            && self.harmless(inv, Some(w), self.now + self.d.tick)
     }
 
     /// The final answer, at once: the client may try again.
     fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_empty()) else { return };
-        if self.may_throttle(inv) {
+        if self.harmless(inv, None, self.now) {
             let wait = self.rows[inv.call.trigger].stated.objective / COME_BACK;
             acts.throttle(id, self.d.come_back_max.map_or(0, |most| wait.min(most)));
         } else {
@@ -398,12 +378,7 @@
             return self.settle(id, acts);
         }
         match self.pick(id) {
-            Choice::Go { invoker, warm, finish, spread } => {
-                if let Some(w) = spread {
-                    self.order_load(w, fid, PLANNED_RATION, acts);
-                }
-                self.dispatch(id, invoker, warm, finish, acts)
-            }
+            Choice::Go { invoker, warm, finish } => self.dispatch(id, invoker, warm, finish, acts),
             Choice::Await(w) => self.await_hold(id, w, acts),
             Choice::Order(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
             // The ration or the pending cap is used up: it frees up with time, tries don't.
@@ -430,6 +405,7 @@
         v.out += 1;
         v.out_work += usual;
         v.sent.push_back((sent, row.run));
+        while v.sent.pop_front_if(|(at, _)| *at + self.d.tip_window <= sent).is_some() {}
         let p = f.places.entry(w).or_default();
         p.out += 1;
         p.touched = sent;
@@ -570,7 +546,7 @@
             return;
         };
         let score = |(w, v): (&InvokerId, &Invoker)| {
-            let unit = (mix(mix(fid) ^ u64::from(*w)) >> 11) as f64 / (1u64 << 53) as f64;
+            let unit = fastrand::Rng::with_seed(fid.wrapping_mul(SPREAD) ^ u64::from(*w)).f64();
             (-unit.max(1e-18).ln() / v.listed.size.max(0.01), *w)
         };
         let mut scored: Vec<_> = self.invokers.iter().filter(|(_, v)| v.ready()).map(score).collect();
@@ -579,12 +555,14 @@
         f.order_version = self.list_version;
     }
 
-    /// How many are ready, their size, and how slow they are on the mean: one jammed pool is no overload.
+    /// How many are ready, their size, and how slow those not shut are on the mean: neither one jammed pool nor
+    /// time-outs at invokers that are out of reach are an overload.
     fn fleet(&self) -> (usize, f64, f64) {
-        let add =
-            |(n, size, slow), v: &Invoker| (n + 1, size + v.listed.size.max(0.01), slow + v.slow(self.now));
-        let (n, size, slow) = self.invokers.values().filter(|v| v.ready()).fold((0, 0.0, 0.0), add);
-        (n, size, if n > 0 { slow / n as f64 } else { 1.0 })
+        let ready = || self.invokers.values().filter(|v| v.ready());
+        let open = ready().filter(|v| v.shut_for == 0);
+        let (n, slow) = open.fold((0.0, 0.0), |(n, slow), v| (n + 1.0, slow + v.slow(self.now)));
+        let size = ready().map(|v| v.listed.size.max(0.01)).sum();
+        (ready().count(), size, if n > 0.0 { slow / n } else { 1.0 })
     }
 
     /// What part of its full capacity an invoker has at least, by the stated slowest rise.
@@ -656,13 +634,11 @@
             best.push((finish as u64 / MILLI, *w, warm, awaited));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
-        let mut spread = None;
         if self.d.misses && best.iter().any(|b| b.2) {
-            spread = best.iter().min().filter(|b| !b.2 && !b.3).map(|b| b.1);
             best.retain(|b| b.2 || b.3);
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
-        if shortest > self.patience(inv) && fleet_slow > JAMMED && self.may_throttle(inv) {
+        if shortest > self.patience(inv) && fleet_slow > JAMMED && self.harmless(inv, None, self.now) {
             return Choice::Nobody;
         }
         best.retain(|b| b.0 == least);
@@ -671,14 +647,14 @@
         match (awaited, self.d.misses && !warm && lacks) {
             (true, _) => Choice::Await(invoker),
             (_, true) => Choice::Order(invoker),
-            _ => Choice::Go { invoker, warm, finish: (finish * MILLI) as f64, spread },
+            _ => Choice::Go { invoker, warm, finish: (finish * MILLI) as f64 },
         }
     }
 
     /// Pools: sizes from demand, then members' holds within the budgets, every second.
     fn plan(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + PLAN_EVERY, acts, |c, acts| c.plan(acts));
-        let (now, keep, tip) = (self.now, self.d.keep_alive, self.d.tip_window);
+        let (now, keep) = (self.now, self.d.keep_alive);
         for f in self.functions.values_mut() {
             f.places.retain(|_, p| {
                 p.out > 0 || p.ordered.is_some() || now < p.touched + keep || now < p.cooldown
@@ -687,9 +663,6 @@
         self.functions.retain(|_, f| now < f.called + 2 * FORGET || !f.places.is_empty());
         let window = self.d.order_window.max(SECOND);
         while self.taken.pop_front_if(|at| *at + window <= now).is_some() {}
-        for v in self.invokers.values_mut() {
-            while v.sent.pop_front_if(|(at, _)| *at + tip <= now).is_some() {}
-        }
         let memory = |v: &Invoker| self.d.kind_memory.get(usize::from(v.listed.kind)).copied().unwrap_or(0.0);
         let total: f64 = self.invokers.values().filter(|v| v.ready()).map(memory).sum();
         let mut room = if total > 0.0 { total * POOL_MEMORY } else { f64::INFINITY };
@@ -828,17 +801,10 @@
     /// Looks for unusual silence, and moves what waits at a silent invoker where a repeat does no harm.
     fn look(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + LOOK_EVERY, acts, |c, acts| c.look(acts));
-        let mut due: BTreeMap<InvokerId, Tenths> = BTreeMap::new();
-        for d in self.invs.values().flat_map(|inv| &inv.out) {
-            due.entry(d.invoker).and_modify(|at| *at = d.due.min(*at)).or_insert(d.due);
-        }
         self.give_up_orders(acts);
-        for (w, v) in &self.invokers {
-            if v.shut_for > 0 {
-                due.entry(*w).or_insert(Tenths::MAX);
-            }
-        }
-        for (w, due) in due {
+        for w in self.invokers.keys().copied().collect::<Vec<_>>() {
+            let out = self.invs.values().flat_map(|inv| &inv.out).filter(|d| d.invoker == w);
+            let due = out.map(|d| d.due).min().unwrap_or(Tenths::MAX);
             let Some(v) = self.invokers.get_mut(&w) else { continue };
             let phi = self.now.saturating_sub(v.heard.max(due)) as f64 / v.gap / std::f64::consts::LN_10;
             let ask = phi > PHI_ASK || (v.shut_for > 0 && self.now >= v.shut_until);
@@ -878,22 +844,15 @@
         let stuck = |inv: &Inv| !inv.done && inv.out.iter().any(late) && inv.hops < self.d.dispatch_limit;
         let ids: Vec<InvId> = self.invs.iter().filter(|(_, inv)| stuck(inv)).map(|(id, _)| *id).collect();
         for id in ids {
-            let Some(inv) = self.invs.get_mut(&id) else { continue };
-            let row = &self.rows[inv.call.trigger].stated;
-            let in_window = inv.out.iter().all(|d| self.now + SECOND < d.sent + row.repeat_window);
-            let repeats = match row.effect {
-                Effect::Idempotent => true,
-                Effect::Tokened => row.scope == Scope::All && in_window,
-                Effect::NonIdempotent => false,
-            };
             if self.d.parallel_dispatches {
-                if let Choice::Go { invoker, warm, finish, .. } = self.pick(id)
+                if let Choice::Go { invoker, warm, finish } = self.pick(id)
                     && invoker != w
                     && self.invs[&id].out.len() < 2
                 {
                     self.dispatch(id, invoker, warm, finish, acts);
                 }
-            } else if repeats && self.d.may_cancel {
+            } else if self.d.may_cancel && self.harmless(&self.invs[&id], None, self.now + SECOND) {
+                let Some(inv) = self.invs.get_mut(&id) else { continue };
                 for d in inv.out.iter_mut().filter(|d| d.invoker == w) {
                     d.cancelled = true;
                     acts.cancel(id, d.hop);
--- a/src/port.rs
+++ b/src/port.rs
@@ -44,7 +44,7 @@
 }
 
 /// The deployment a controller is started in, as far as it is stated.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Deployment {
     pub controllers: u32,
     pub zone: u8,
@@ -73,15 +73,16 @@
     pub tip_window: Tenths,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Life {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One line of the list of invokers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub invoker: InvokerId,
     pub zone: u8,
