--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (the invokers),
 //! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `probed`, `woken`. Each takes
 //! the time and an `Acts` through which the controller acts before it returns. Same calls, same actions.
-//! The ordinary path is `plan` (pools, each second), `order` and `pick`; `docs/design.md` tells what is added.
+//! The ordinary path is `plan` (pools, each second), `order`, `pick`; `docs/design.md` tells what is added.
 
 use crate::port::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -26,10 +26,7 @@
 const PLANNED_RATION: f64 = 0.4;
 /// A failed load is not repeated at the same place for this long.
 const LOAD_COOLDOWN: Tenths = 3 * SECOND;
-/// An order is given up on this long after a standing copy, or twice a load, would have answered.
-const ORDER_LATE: Tenths = 300 * MILLI;
-/// After a miss the place counts as lacking the function for this long, and an invocation that cannot order
-/// it there asks again this often.
+/// So long does a place count as lacking what it missed; who cannot order it there asks again this often.
 const LACKS: Tenths = 4 * SECOND;
 const ASK_AGAIN: Tenths = 50 * MILLI;
 /// Load time where none was told or seen, and run time before the first answer.
@@ -62,12 +59,12 @@
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.8;
-/// Part of the objective after which a throttled client may come back: a retry at once may still be in time.
+/// A throttled client may come back after this part of the objective: a retry may still be in time.
 const COME_BACK: Tenths = 8;
 /// A final answer is given this long before the client timeout.
 const LAST_CALL: Tenths = 10 * MILLI;
 
-/// Odd, to spread function ids over all bits before an invoker's id is mixed in.
+/// Spreads function ids over all bits before an invoker's id is mixed in.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// What to do when a step of an invocation, an order or a timer has ended.
@@ -91,7 +88,6 @@
     /// Run time expected of this invocation, and of its function's on the whole.
     run: f64,
     usual: f64,
-    cancelled: bool,
     next: Next,
 }
 
@@ -133,9 +129,7 @@
     warm: bool,
     touched: Tenths,
     loading: Option<Tenths>,
-    ordered: Option<Tenths>,
-    /// The order's answer is long overdue: nobody waits for it any more.
-    overdue: bool,
+    ordered: bool,
     waiting: Vec<Next>,
     placed: bool,
     off_since: Option<Tenths>,
@@ -271,17 +265,13 @@
             self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
         }
         for l in entries {
-            let v = self.invokers.entry(l.invoker).or_insert_with(|| Invoker {
-                listed: *l,
-                heard: now,
-                gap: GAP_FLOOR,
-                slow: (1.0, now),
-                ..Default::default()
-            });
+            let slow = (1.0, now);
+            let new = || Invoker { listed: *l, heard: now, gap: GAP_FLOOR, slow, ..Default::default() };
+            let v = self.invokers.entry(l.invoker).or_insert_with(new);
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
             if restarted {
-                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, (1.0, now));
+                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, slow);
                 self.forget_copies(l.invoker);
             }
         }
@@ -316,18 +306,16 @@
         (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
-        let (id, arrived, out, tried) = (call.id, now, Vec::new(), Vec::new());
-        let inv = Inv { call, arrived, over_share, out, hops: 0, may_have_run: None, tried, done: false };
-        self.invs.insert(id, inv);
+        let (id, out, tried) = (call.id, Vec::new(), Vec::new());
+        let new =
+            Inv { call, arrived: now, over_share, out, hops: 0, may_have_run: None, tried, done: false };
+        self.invs.insert(id, new);
         self.send(id, acts);
     }
 
+    /// Nothing more is owed for it; what is still out is only waited for.
     pub fn left(&mut self, now: Tenths, id: InvId) {
         self.now = now;
-        self.finish_inv(id);
-    }
-
-    fn finish_inv(&mut self, id: InvId) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.done = true;
         if inv.out.is_empty() {
@@ -368,7 +356,7 @@
         } else {
             acts.error(id);
         }
-        self.finish_inv(id);
+        self.left(self.now, id);
     }
 
     fn send(&mut self, id: InvId, acts: &mut dyn Acts) {
@@ -393,15 +381,11 @@
     fn dispatch(&mut self, id: InvId, w: InvokerId, warm: bool, finish: f64, acts: &mut dyn Acts) {
         let fid = self.invs[&id].call.function;
         let loads = !warm && !self.d.misses;
-        if loads {
-            self.make_room(w, fid, acts);
-        }
+        self.make_room(w, fid, loads, acts);
         let (Some(inv), Some(f)) = (self.invs.get_mut(&id), self.functions.get_mut(&fid)) else { return };
         let (Some(v), row) = (self.invokers.get_mut(&w), &self.rows[inv.call.trigger]) else { return };
         let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run, self.now, inv.hops);
-        if v.out == 0 {
-            v.heard = sent;
-        }
+        v.heard = if v.out == 0 { sent } else { v.heard };
         v.out += 1;
         v.out_work += usual;
         v.sent.push_back((sent, row.run));
@@ -409,12 +393,14 @@
         let p = f.places.entry(w).or_default();
         p.out += 1;
         p.touched = sent;
-        if loads {
-            p.loading.get_or_insert(sent);
-        }
+        p.loading = p.loading.or(loads.then_some(sent));
         let due = sent + finish as Tenths;
-        let next: Next = Box::new(move |c, acts| c.after(id, acts));
-        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, run, usual, cancelled: false, next });
+        let next: Next = Box::new(move |c, acts| match c.invs.get(&id) {
+            Some(inv) if inv.done => c.left(c.now, id),
+            Some(inv) if inv.out.is_empty() => c.send(id, acts),
+            _ => {}
+        });
+        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, run, usual, next });
         inv.hops += 1;
         acts.dispatch(id, w, 0);
     }
@@ -442,6 +428,7 @@
         let (now, took, w) = (self.now, a.took as f64, d.invoker);
         let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
+        let ratio = (took / d.run.max(1.0)).min(10.0);
         v.out -= 1;
         v.out_work = (v.out_work - d.usual).max(0.0);
         p.out -= 1;
@@ -449,35 +436,31 @@
             v.gap = (v.gap + 0.1 * ((now - v.heard) as f64 - v.gap)).max(GAP_FLOOR);
             v.heard = now;
         }
+        v.errors += match a.outcome {
+            Outcome::Succeeded => -0.2 * v.errors,
+            Outcome::Errored => 0.2 * (1.0 - v.errors),
+            _ => 0.0,
+        };
         match a.outcome {
             Outcome::Succeeded => {
-                v.errors *= 0.8;
                 (v.shut_until, v.shut_for) = (0, 0);
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
-                    let slow = v.slow(now);
-                    v.slow = (slow + 0.1 * ((took / d.run.max(1.0)).min(10.0) - slow), now);
+                    v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)), now);
                     // Run times learned in a jam as they are would make demand, and pools, grow with the jam.
                     let alone = took / v.slow(now).max(1.0);
                     f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
                     row.seen = (row.seen + 1.0).min(100.0);
                     row.run += (alone - row.run) / row.seen;
-                    if let Some(h) = hint {
-                        row.pace += (alone / (h as f64).max(1.0) - row.pace) / row.seen;
-                    }
+                    row.pace += hint.map_or(0.0, |h| (alone / h.max(1) as f64 - row.pace) / row.seen);
                 } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - d.run);
                 }
                 (p.warm, p.loading) = (true, None);
             }
-            Outcome::Errored => {
-                v.errors += 0.2 * (1.0 - v.errors);
-                if v.errors > ERRORS_ILL {
-                    v.shut(now);
-                }
-            }
+            Outcome::Errored if v.errors > ERRORS_ILL => v.shut(now),
             Outcome::Miss => (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS),
             Outcome::NoConnection => v.shut(now),
             Outcome::Reset => {
@@ -485,8 +468,7 @@
                 self.forget_copies(w);
             }
             Outcome::TimedOut | Outcome::Cancelled => {
-                let (slow, ratio) = (v.slow(now), (took / d.run.max(1.0)).min(10.0));
-                v.slow = (slow + 0.1 * (ratio - slow).max(0.0), now);
+                v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)).max(0.0), now);
             }
             Outcome::Full => {
                 v.slow = (v.slow(now).max(FULL_SLOW), now);
@@ -496,15 +478,6 @@
         }
     }
 
-    /// What follows a dispatch that has ended.
-    fn after(&mut self, id: InvId, acts: &mut dyn Acts) {
-        match self.invs.get(&id) {
-            Some(inv) if inv.done => self.finish_inv(id),
-            Some(inv) if inv.out.is_empty() => self.send(id, acts),
-            _ => {}
-        }
-    }
-
     fn await_hold(&mut self, id: InvId, w: InvokerId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id) else { return };
         let (hops, expires) = (inv.hops, inv.call.expires);
@@ -555,8 +528,7 @@
         f.order_version = self.list_version;
     }
 
-    /// How many are ready, their size, and how slow those not shut are on the mean: neither one jammed pool nor
-    /// time-outs at invokers that are out of reach are an overload.
+    /// How many are ready, their size, and how slow those not shut are: an overload slows them all.
     fn fleet(&self) -> (usize, f64, f64) {
         let ready = || self.invokers.values().filter(|v| v.ready());
         let open = ready().filter(|v| v.shut_for == 0);
@@ -572,8 +544,8 @@
         (self.d.cold_share + (1.0 - self.d.cold_share) * age).min(1.0)
     }
 
-    /// Rule 4: work that may still be sent now. What we got done, by size, stands for
-    /// our part of its capacity: all controllers together never get done more than the fleet can do.
+    /// Rule 4: work that may be sent now. What we got done, by size, stands for our part of the capacity:
+    /// all controllers together never get done more than the fleet can do.
     fn cold_room(&self, v: &Invoker, fleet_size: f64) -> f64 {
         let risen = self.risen(v);
         if risen >= 1.0 {
@@ -610,7 +582,7 @@
         for w in &f.order {
             let (v, p) = (&self.invokers[w], f.places.get(w));
             let warm = f.warm(*w, now, self.d.keep_alive);
-            let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown || p.overdue);
+            let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let barred = cooling || inv.tried.contains(w) || !self.may_send(inv, *w);
             if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run {
                 continue;
@@ -630,7 +602,7 @@
             let finish = load + slow * alone + queue;
             shortest = shortest.min(usual);
             below_target |= out < f.lanes && usual < TARGET * f.run;
-            let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered.is_some() && !p.overdue);
+            let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
@@ -656,9 +628,9 @@
         self.later(self.now + PLAN_EVERY, acts, |c, acts| c.plan(acts));
         let (now, keep) = (self.now, self.d.keep_alive);
         for f in self.functions.values_mut() {
-            f.places.retain(|_, p| {
-                p.out > 0 || p.ordered.is_some() || now < p.touched + keep || now < p.cooldown
-            });
+            // Copies that we placed may stand longer than we may believe: they stay in mind for unloading.
+            let kept = |p: &Place| now < (p.touched + if p.placed { 3 * keep } else { keep }).max(p.cooldown);
+            f.places.retain(|_, p| p.out > 0 || p.ordered || kept(p));
         }
         self.functions.retain(|_, f| now < f.called + 2 * FORGET || !f.places.is_empty());
         let window = self.d.order_window.max(SECOND);
@@ -672,6 +644,7 @@
         for (fid, f) in &mut self.functions {
             if now >= f.called + FORGET {
                 f.members = 0;
+                f.places.values_mut().for_each(|p| p.off_since = p.off_since.or(Some(now)));
                 continue;
             }
             let rate = f.rate(now);
@@ -714,9 +687,7 @@
                 true => p.out == 0 && now >= p.touched + (keep as f64 * RENEW_AT) as Tenths,
                 false => p.loading.is_none(),
             });
-            if due && used < most && self.order_load(w, fid, PLANNED_RATION, acts) {
-                used += 1;
-            }
+            used += usize::from(due && used < most && self.order_load(w, fid, PLANNED_RATION, acts));
         }
         used
     }
@@ -728,24 +699,21 @@
         if !self.d.may_order || self.orders_out >= cap || !self.invokers.get(&w).is_some_and(Invoker::ready) {
             return false;
         }
-        if window > 0 {
-            while self.orders.pop_front_if(|at| *at + window + MILLI <= now).is_some() {}
-            let taken = self.taken.iter().rev().take_while(|at| **at + window > now).count() as f64;
-            if self.orders.len() as f64 + 1.0 > (self.d.orders_free + self.d.orders_share * taken) * ration {
-                return false;
-            }
+        while self.orders.pop_front_if(|at| *at + window + MILLI <= now).is_some() {}
+        let taken = self.taken.iter().rev().take_while(|at| **at + window > now).count() as f64;
+        let most = (self.d.orders_free + self.d.orders_share * taken) * ration;
+        if window > 0 && self.orders.len() as f64 + 1.0 > most {
+            return false;
         }
         let Some(f) = self.functions.get_mut(&fid) else { return false };
         let warm = f.warm(w, now, self.d.keep_alive);
         let p = f.places.entry(w).or_default();
-        if p.ordered.is_some() || now < p.cooldown {
+        if p.ordered || now < p.cooldown {
             return false;
         }
-        (p.ordered, p.overdue, p.placed) = (Some(now), false, true);
-        if !warm {
-            p.loading = Some(now);
-            self.make_room(w, fid, acts);
-        }
+        (p.ordered, p.placed) = (true, true);
+        p.loading = p.loading.or((!warm).then_some(now));
+        self.make_room(w, fid, !warm, acts);
         self.orders.push_back(now);
         self.orders_out += 1;
         acts.hold(w, fid, 1);
@@ -753,11 +721,11 @@
     }
 
     /// Before a load at `w`: our own idle instances there, planned off for a dwell and not called since.
-    fn make_room(&mut self, w: InvokerId, fid: FnId, acts: &mut dyn Acts) {
-        for (g, f) in self.functions.iter_mut().filter(|(g, _)| self.d.may_order && **g != fid) {
+    fn make_room(&mut self, w: InvokerId, fid: FnId, loads: bool, acts: &mut dyn Acts) {
+        for (g, f) in self.functions.iter_mut().filter(|(g, _)| loads && self.d.may_order && **g != fid) {
             let Some(p) = f.places.get_mut(&w) else { continue };
             let stale = p.off_since.is_some_and(|since| self.now >= since + DWELL);
-            if p.placed && p.warm && stale && p.out == 0 && p.ordered.is_none() {
+            if p.placed && stale && p.out == 0 && !p.ordered {
                 (p.warm, p.placed) = (false, false);
                 acts.unload(w, *g);
             }
@@ -769,7 +737,7 @@
         self.orders_out = self.orders_out.saturating_sub(1);
         let Some(f) = self.functions.get_mut(&a.function) else { return };
         let p = f.places.entry(a.invoker).or_default();
-        (p.ordered, p.loading, p.lacks_until) = (None, None, 0);
+        (p.ordered, p.loading, p.lacks_until) = (false, None, 0);
         p.warm = a.outcome == HoldOutcome::Standing;
         if p.warm {
             p.touched = p.touched.max(now - a.took);
@@ -780,8 +748,7 @@
         let waiting = std::mem::take(&mut p.waiting);
         if let Some(v) = self.invokers.get_mut(&a.invoker) {
             match a.outcome {
-                HoldOutcome::Unreachable => v.shut(now),
-                HoldOutcome::TimedOut => {}
+                HoldOutcome::Unreachable | HoldOutcome::TimedOut => v.shut(now),
                 _ => v.heard = now,
             }
         }
@@ -801,7 +768,6 @@
     /// Looks for unusual silence, and moves what waits at a silent invoker where a repeat does no harm.
     fn look(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + LOOK_EVERY, acts, |c, acts| c.look(acts));
-        self.give_up_orders(acts);
         for w in self.invokers.keys().copied().collect::<Vec<_>>() {
             let out = self.invs.values().flat_map(|inv| &inv.out).filter(|d| d.invoker == w);
             let due = out.map(|d| d.due).min().unwrap_or(Tenths::MAX);
@@ -820,27 +786,8 @@
         }
     }
 
-    /// An order that is lost, as across a cut link, is answered only after its long time-out: an invoker not heard
-    /// of since counts as silent, and who waits goes elsewhere. A slow store may look alike for loads: hence twice.
-    fn give_up_orders(&mut self, acts: &mut dyn Acts) {
-        let (now, keep, mut waiting) = (self.now, self.d.keep_alive, Vec::new());
-        for f in self.functions.values_mut() {
-            let load = 2 * f.load() as Tenths;
-            for (w, p) in &mut f.places {
-                let wait = ORDER_LATE + if p.loading.is_some() { load } else { 0 };
-                let Some(at) = p.ordered.filter(|at| !p.overdue && now > at + wait) else { continue };
-                (p.overdue, p.loading, p.warm) = (true, None, p.warm && now < p.touched + keep && p.out > 0);
-                waiting.append(&mut p.waiting);
-                if let Some(v) = self.invokers.get_mut(w).filter(|v| v.heard < at) {
-                    v.shut(now);
-                }
-            }
-        }
-        waiting.into_iter().for_each(|then| then(self, acts));
-    }
-
     fn move_off(&mut self, w: InvokerId, acts: &mut dyn Acts) {
-        let late = |d: &Dispatch| d.invoker == w && d.due < self.now && !d.cancelled;
+        let late = |d: &Dispatch| d.invoker == w && d.due < self.now;
         let stuck = |inv: &Inv| !inv.done && inv.out.iter().any(late) && inv.hops < self.d.dispatch_limit;
         let ids: Vec<InvId> = self.invs.iter().filter(|(_, inv)| stuck(inv)).map(|(id, _)| *id).collect();
         for id in ids {
@@ -854,7 +801,7 @@
             } else if self.d.may_cancel && self.harmless(&self.invs[&id], None, self.now + SECOND) {
                 let Some(inv) = self.invs.get_mut(&id) else { continue };
                 for d in inv.out.iter_mut().filter(|d| d.invoker == w) {
-                    d.cancelled = true;
+                    d.due = Tenths::MAX;
                     acts.cancel(id, d.hop);
                 }
             }
