--- a/src/decide.rs
+++ b/src/decide.rs
@@ -467,9 +467,6 @@
                 v.shut(now);
                 self.forget_copies(w);
             }
-            Outcome::TimedOut | Outcome::Cancelled => {
-                v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)).max(0.0), now);
-            }
             Outcome::Full => {
                 v.slow = (v.slow(now).max(FULL_SLOW), now);
                 v.shut_until = v.shut_until.max(now + SHUT_FULL);
@@ -576,7 +573,7 @@
         let alone = expected(&inv.call, f, row);
         let (n, size, fleet_slow) = self.fleet();
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
-        let all_ill = 2 * f.order.iter().filter(|w| now < self.invokers[w].shut_until).count() > n;
+        let all_ill = 2 * f.order.iter().filter(|w| !self.invokers[w].well(now)).count() > n;
         let mut best: Vec<(u64, InvokerId, bool, bool)> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
         for w in &f.order {
@@ -600,7 +597,8 @@
             let queue = slow * f.run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
             let usual = slow * f.run + queue;
             let finish = load + slow * alone + queue;
-            shortest = shortest.min(usual);
+            // Slowness is old news: where nothing of ours is out, one invocation may look how things stand.
+            shortest = shortest.min(if v.out == 0 { f.run } else { usual });
             below_target |= out < f.lanes && usual < TARGET * f.run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited));
