--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,7 @@
 const LOAD_GUESS: f64 = SECOND as f64;
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
-const CORES: f64 = 4.0;
+const CORES: f64 = 3.0;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
 const TARGET: f64 = 4.0;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
@@ -51,7 +51,7 @@
 const ERRORS_ILL: f64 = 0.4;
 /// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
 const FULL_SLOW: f64 = 3.0;
-const SLOW_FADES: f64 = 3.0;
+const SLOW_FADES: f64 = 5.0;
 /// A fleet on which runs take this much longer than alone, on the mean, is jammed.
 const JAMMED: f64 = 1.5;
 /// What a tenant sends beyond its share waits this much less, and the least billed work down to this share.
@@ -598,7 +598,7 @@
             let usual = slow * f.run + queue;
             let finish = load + slow * alone + queue;
             // Slowness is old news: where nothing of ours is out, one invocation may look how things stand.
-            shortest = shortest.min(if v.out == 0 { f.run } else { usual });
+            shortest = shortest.min(if v.out == 0 { 0.0 } else { usual });
             below_target |= out < f.lanes && usual < TARGET * f.run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited));
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -153,3 +153,45 @@
     assert_eq!(bed.k.invs[&id].finals, ["throttled"]);
     assert!(bed.k.come_back[0] > 0);
 }
+
+/// Found as refusals of nearly everything for seconds: slowness learned in a jam outlived it.
+#[test]
+fn idle_invokers_are_tried_however_slow_they_were() {
+    let mut d = deployment();
+    d.trigger_types[0].objective = 2 * RUN;
+    let mut bed = Bed::new(d, 2);
+    traffic(&mut bed, 1, 10, 3);
+    for _ in 0..3 {
+        let ids: Vec<InvId> = (0..16).map(|_| bed.invoke(0, 1, 4 * SECOND)).collect();
+        bed.pass(8 * RUN);
+        for id in ids {
+            for (_, hop) in bed.out().into_iter().filter(|(i, _)| *i == id) {
+                bed.answer(id, hop, Outcome::Succeeded, Some(Found::Warm));
+            }
+        }
+    }
+    let id = bed.invoke(0, 1, 4 * SECOND);
+    assert_eq!(bed.k.invs[&id].sent.len(), 1);
+}
+
+/// Least billed value goes first, and only while the whole fleet is slow.
+#[test]
+fn in_a_jam_the_least_billed_value_is_turned_away_first() {
+    let mut d = deployment();
+    d.trigger_types.push(TriggerType { billed_value: 10.0, ..terms(Effect::Idempotent, Scope::All) });
+    let mut bed = Bed::new(d, 2);
+    traffic(&mut bed, 1, 10, 3);
+    let mut throttled = [0, 0];
+    for n in 0..400 {
+        let trigger = n % 2;
+        let id = bed.invoke(trigger, 1, 4 * SECOND);
+        throttled[trigger] += usize::from(bed.k.invs[&id].finals == ["throttled"]);
+        bed.pass(20 * MILLI);
+        for (id, hop) in bed.out() {
+            if bed.k.now - bed.k.invs[&id].sent[hop].at >= 5 * RUN {
+                bed.answer(id, hop, Outcome::Succeeded, Some(Found::Warm));
+            }
+        }
+    }
+    assert!(throttled[0] > throttled[1], "{throttled:?}");
+}
