--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 /// Load time where none was told or seen, and run time before the first answer.
 const LOAD_GUESS: f64 = SECOND as f64;
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
+/// So many run times of a trigger type are learned however crowded the invoker is.
+const RUNS_SEEN: f64 = 20.0;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 3.0;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
@@ -61,8 +63,7 @@
 const COLD_MARGIN: f64 = 0.8;
 /// A throttled client may come back after this part of the objective: a retry may still be in time.
 const COME_BACK: Tenths = 8;
-/// A final answer is given this long before the client timeout.
-const LAST_CALL: Tenths = 10 * MILLI;
+const LAST_CALL: Tenths = 10 * MILLI; // lead of a final answer on the client timeout
 
 /// Spreads function ids over all bits before an invoker's id is mixed in.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -85,6 +86,7 @@
     /// When an answer is expected, had all gone as the pick foresaw.
     due: Tenths,
     warm: bool,
+    uncrowded: bool,
     /// Run time expected of this invocation, and of its function's on the whole.
     run: f64,
     usual: f64,
@@ -123,7 +125,6 @@
     sent: VecDeque<(Tenths, f64)>,
 }
 
-/// A function at an invoker, as far as this controller knows.
 #[derive(Default)]
 struct Place {
     warm: bool,
@@ -163,7 +164,6 @@
         warm: bool,
         finish: f64,
     },
-    /// A load that we ordered is under way there.
     Await(InvokerId),
     /// It was told lately that no copy is there, and a dispatch would bring none.
     Order(InvokerId),
@@ -265,13 +265,13 @@
             self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
         }
         for l in entries {
-            let slow = (1.0, now);
-            let new = || Invoker { listed: *l, heard: now, gap: GAP_FLOOR, slow, ..Default::default() };
+            let new =
+                || Invoker { listed: *l, heard: now, gap: GAP_FLOOR, slow: (1.0, now), ..Default::default() };
             let v = self.invokers.entry(l.invoker).or_insert_with(new);
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
             if restarted {
-                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, slow);
+                (v.shut_until, v.shut_for, v.errors, v.slow) = (0, 0, 0.0, (1.0, now));
                 self.forget_copies(l.invoker);
             }
         }
@@ -313,7 +313,6 @@
         self.send(id, acts);
     }
 
-    /// Nothing more is owed for it; what is still out is only waited for.
     pub fn left(&mut self, now: Tenths, id: InvId) {
         self.now = now;
         let Some(inv) = self.invs.get_mut(&id) else { return };
@@ -386,6 +385,7 @@
         let (Some(v), row) = (self.invokers.get_mut(&w), &self.rows[inv.call.trigger]) else { return };
         let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run, self.now, inv.hops);
         v.heard = if v.out == 0 { sent } else { v.heard };
+        let uncrowded = f64::from(v.out) < CORES;
         v.out += 1;
         v.out_work += usual;
         v.sent.push_back((sent, row.run));
@@ -400,7 +400,7 @@
             Some(inv) if inv.out.is_empty() => c.send(id, acts),
             _ => {}
         });
-        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, run, usual, next });
+        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, uncrowded, run, usual, next });
         inv.hops += 1;
         acts.dispatch(id, w, 0);
     }
@@ -449,12 +449,14 @@
                 self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)), now);
-                    // Run times learned in a jam as they are would make demand, and pools, grow with the jam.
-                    let alone = took / v.slow(now).max(1.0);
-                    f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
-                    row.seen = (row.seen + 1.0).min(100.0);
-                    row.run += (alone - row.run) / row.seen;
-                    row.pace += hint.map_or(0.0, |h| (alone / h.max(1) as f64 - row.pace) / row.seen);
+                    // Learned in a jam, run times would take it for normal: it would go unseen, pools would grow.
+                    if d.uncrowded || row.seen < RUNS_SEEN {
+                        let alone = took / v.slow(now).max(1.0);
+                        f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
+                        row.seen = (row.seen + 1.0).min(100.0);
+                        row.run += (alone - row.run) / row.seen;
+                        row.pace += hint.map_or(0.0, |h| (alone / h.max(1) as f64 - row.pace) / row.seen);
+                    }
                 } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - d.run);
                 }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -195,3 +195,22 @@
     }
     assert!(throttled[0] > throttled[1], "{throttled:?}");
 }
+
+/// Found as a jam that hid itself: run times learned in it grew tenfold, so nothing looked slow.
+#[test]
+fn a_long_jam_does_not_become_the_run_time() {
+    let mut bed = Bed::new(deployment(), 8);
+    (0..8).for_each(|function| traffic(&mut bed, function, 10, 2));
+    let mut throttled = 0;
+    for n in 0..1200 {
+        let id = bed.invoke(0, n % 8, 4 * SECOND);
+        throttled += usize::from(bed.k.invs[&id].finals == ["throttled"]);
+        bed.pass(20 * MILLI);
+        // Fifty a second come, half of that is done, oldest first.
+        if let Some((id, hop)) = bed.out().first().filter(|_| n % 2 == 0) {
+            bed.answer(*id, *hop, Outcome::Succeeded, Some(Found::Warm));
+        }
+    }
+    let waiting = bed.out().len();
+    assert!(throttled > 200 && waiting < 36, "{throttled} throttled, {waiting} waiting");
+}
