--- a/src/decide.rs
+++ b/src/decide.rs
@@ -449,7 +449,7 @@
                 self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)), now);
-                    // Learned in a jam, run times would take it for normal: it would go unseen, pools would grow.
+                    // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
                     if d.uncrowded || row.seen < RUNS_SEEN {
                         let alone = took / v.slow(now).max(1.0);
                         f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
