--- a/src/decide.rs
+++ b/src/decide.rs
@@ -632,9 +632,9 @@
             let kept = |p: &Place| now < (p.touched + if p.placed { 3 * keep } else { keep }).max(p.cooldown);
             f.places.retain(|_, p| p.out > 0 || p.ordered || kept(p));
         }
-        self.functions.retain(|_, f| now < f.called + 2 * FORGET || !f.places.is_empty());
-        let window = self.d.order_window.max(SECOND);
-        while self.taken.pop_front_if(|at| *at + window <= now).is_some() {}
+        let longest = self.rows.iter().map(|r| r.stated.client_timeout).max().unwrap_or(0);
+        self.functions.retain(|_, f| now < f.called + FORGET + longest || !f.places.is_empty());
+        while self.taken.pop_front_if(|at| *at + self.d.order_window.max(SECOND) <= now).is_some() {}
         let memory = |v: &Invoker| self.d.kind_memory.get(usize::from(v.listed.kind)).copied().unwrap_or(0.0);
         let total: f64 = self.invokers.values().filter(|v| v.ready()).map(memory).sum();
         let mut room = if total > 0.0 { total * POOL_MEMORY } else { f64::INFINITY };
