--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,7 @@
 /// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
 const QUICK: f64 = 2.0;
 const STEADY: f64 = 8.0;
+const LONG: f64 = 30.0;
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
 /// Planned orders leave the rest of the order ration to misses.
@@ -144,6 +145,7 @@
     trigger: usize,
     quick: f64,
     steady: f64,
+    long: f64,
     called: Tenths,
     run: f64,
     lanes: f64,
@@ -211,9 +213,10 @@
 
     /// Calls a second; the short span counts only as far as chance cannot explain it.
     fn rate(&self, now: Tenths) -> f64 {
-        let quick = self.quick * decay(now - self.called, QUICK);
-        let steady = self.steady * decay(now - self.called, STEADY);
-        steady.max(quick - (quick / QUICK).sqrt())
+        let faded = |rate: f64, span: f64| rate * decay(now - self.called, span);
+        let sure = |rate: f64, span: f64| rate - (rate / span).sqrt();
+        let short = sure(faded(self.quick, QUICK), QUICK).max(sure(faded(self.steady, STEADY), STEADY));
+        short.max(faded(self.long, LONG))
     }
 }
 
@@ -303,6 +306,7 @@
         let f = self.functions.entry(call.function).or_insert_with(new);
         f.quick = f.quick * decay(now - f.called, QUICK) + 1.0 / QUICK;
         f.steady = f.steady * decay(now - f.called, STEADY) + 1.0 / STEADY;
+        f.long = f.long * decay(now - f.called, LONG) + 1.0 / LONG;
         (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
