Silence, run times, load times and pools that hold with hundreds of controllers

Now silence is judged by the lateness seen anywhere, run times come from the faster half of what is seen, the load time counts as often as copies lacked, unknown places are tried first where a miss is cheap, pools are wider (FILL 0.5 to 0.2), planned holds are our part of one an invoker and second.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 /// A function not called for this long loses its floor of one member.
 const FORGET: Tenths = 25 * SECOND;
 /// Pools are sized so that lanes are this full on average: calls come in bursts, and a full lane queues.
-const FILL: f64 = 0.5;
+const FILL: f64 = 0.2;
 /// Share of the fleet's memory that pools may claim; the rest is for work and for what others loaded.
 const POOL_MEMORY: f64 = 0.6;
 /// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
@@ -33,12 +33,16 @@
 /// Load time where none was told or seen, and run time before the first answer.
 const LOAD_GUESS: f64 = SECOND as f64;
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
+/// Least step, as a share, by which a timed value follows what is seen.
+const LEARN: f64 = 0.05;
 /// So many run times of a trigger type are learned however crowded the invoker is.
 const RUNS_SEEN: f64 = 20.0;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 3.0;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
 const TARGET: f64 = 4.0;
+/// Finishes that differ by less than this part of a run are ties: no estimate is that good.
+const TIE: f64 = 0.25;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
@@ -72,12 +76,40 @@
 /// What to do when a step of an invocation, an order or a timer has ended.
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 
-/// One row a trigger type: what is stated, the mean run time, and run time over the hint of work.
+/// The mean of what is timed, told from its faster half alone: a jam stretches the slower half first, and
+/// none of many controllers sees by its own count that an invoker is crowded.
+#[derive(Clone)]
+struct Timed {
+    low: f64,
+    mid: f64,
+    seen: f64,
+}
+
+impl Timed {
+    fn new(guess: f64) -> Self {
+        Self { low: 0.5 * guess, mid: 0.8 * guess, seen: 0.0 }
+    }
+
+    /// Follows the 3rd and the 5th decile.
+    fn learn(&mut self, x: f64) {
+        self.seen += 1.0;
+        let step = (2.0 / (self.seen + 1.0)).max(LEARN);
+        self.low *= (step * (0.3 - f64::from(x < self.low))).exp();
+        self.mid *= (step * (0.5 - f64::from(x < self.mid))).exp();
+    }
+
+    /// Of the log-normal law with these deciles.
+    fn mean(&self) -> f64 {
+        let sigma = ((self.mid / self.low).ln() / 0.524).clamp(0.2, 1.0);
+        self.mid * (0.5 * sigma * sigma).exp()
+    }
+}
+
+/// One row a trigger type: what is stated, run times, and run times over the hint of work.
 struct Row {
     stated: TriggerType,
-    run: f64,
-    pace: f64,
-    seen: f64,
+    run: Timed,
+    pace: Timed,
 }
 
 struct Dispatch {
@@ -140,18 +172,18 @@
     out: u32,
 }
 
-#[derive(Default)]
 struct Function {
     trigger: usize,
     quick: f64,
     steady: f64,
     long: f64,
     called: Tenths,
-    run: f64,
+    run: Timed,
     lanes: f64,
     memory: f64,
     load_told: Option<f64>,
     load_seen: f64,
+    cold: f64,
     /// Members wanted, and since when fewer would do.
     members: usize,
     surplus_since: Option<Tenths>,
@@ -187,6 +219,11 @@
     taken: VecDeque<Tenths>,
     orders: VecDeque<Tenths>,
     orders_out: usize,
+    /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
+    moves: f64,
+    cold: f64,
+    /// Mean gap between answers over all invokers: what stands for those seldom heard.
+    gap: f64,
     /// Work that ended well a tenth, smoothed, and when that was last right.
     work_rate: (f64, Tenths),
     /// What is left of each tenant's share, and when that was last right.
@@ -199,10 +236,32 @@
 
 /// Run time of one invocation alone: by its hint, where it has one, else as its function's are.
 fn expected(call: &Invocation, f: &Function, row: &Row) -> f64 {
-    call.work_hint.map_or(f.run, |h| h as f64 * row.pace)
+    call.work_hint.map_or(f.run.mean(), |h| h as f64 * row.pace.mean())
 }
 
 impl Function {
+    fn new(trigger: usize, now: Tenths, run: Timed, cold: f64) -> Self {
+        let (order, places) = (Vec::new(), BTreeMap::new());
+        Self {
+            trigger,
+            quick: 0.0,
+            steady: 0.0,
+            long: 0.0,
+            called: now,
+            run: Timed { seen: run.seen.min(10.0), ..run },
+            lanes: 1.0,
+            memory: 0.0,
+            load_told: None,
+            load_seen: 0.0,
+            cold,
+            members: 1,
+            surplus_since: None,
+            order,
+            order_version: 0,
+            places,
+        }
+    }
+
     fn load(&self) -> f64 {
         self.load_told.unwrap_or(if self.load_seen > 0.0 { self.load_seen } else { LOAD_GUESS })
     }
@@ -245,7 +304,7 @@
 
 impl Controller {
     pub fn new(now: Tenths, d: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row = |t: &TriggerType| Row { stated: t.clone(), run: RUN_GUESS, pace: 1.0, seen: 0.0 };
+        let row = |t: &TriggerType| Row { stated: t.clone(), run: Timed::new(RUN_GUESS), pace: Timed::new(1.0) };
         let mut c = Self {
             now,
             rng: fastrand::Rng::with_seed(seed),
@@ -253,9 +312,12 @@
             tenants: d.tenants.iter().map(|t| (t.quota / f64::from(d.controllers), now)).collect(),
             d,
             work_rate: (0.0, now),
+            cold: 1.0,
+            gap: RUN_GUESS,
             list_version: 1,
             ..Default::default()
         };
+        c.moves = c.rng.f64();
         c.plan(acts);
         c.look(acts);
         c
@@ -301,8 +363,8 @@
             over_share = *left < 1.0;
             *left -= if over_share { 0.0 } else { 1.0 };
         }
-        let run = call.work_hint.map_or(self.rows[call.trigger].run, |h| h as f64);
-        let new = || Function { trigger: call.trigger, called: now, run, members: 1, ..Default::default() };
+        let (cold, run) = (self.cold, &self.rows[call.trigger].run);
+        let new = || Function::new(call.trigger, now, run.clone(), cold);
         let f = self.functions.entry(call.function).or_insert_with(new);
         f.quick = f.quick * decay(now - f.called, QUICK) + 1.0 / QUICK;
         f.steady = f.steady * decay(now - f.called, STEADY) + 1.0 / STEADY;
@@ -387,12 +449,12 @@
         self.make_room(w, fid, loads, acts);
         let (Some(inv), Some(f)) = (self.invs.get_mut(&id), self.functions.get_mut(&fid)) else { return };
         let (Some(v), row) = (self.invokers.get_mut(&w), &self.rows[inv.call.trigger]) else { return };
-        let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run, self.now, inv.hops);
+        let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run.mean(), self.now, inv.hops);
         v.heard = if v.out == 0 { sent } else { v.heard };
         let uncrowded = f64::from(v.out) < CORES;
         v.out += 1;
         v.out_work += usual;
-        v.sent.push_back((sent, row.run));
+        v.sent.push_back((sent, row.run.mean()));
         while v.sent.pop_front_if(|(at, _)| *at + self.d.tip_window <= sent).is_some() {}
         let p = f.places.entry(w).or_default();
         p.out += 1;
@@ -431,13 +493,23 @@
     fn learn(&mut self, fid: FnId, trigger: usize, hint: Option<Tenths>, d: &Dispatch, a: &Answer) {
         let (now, took, w) = (self.now, a.took as f64, d.invoker);
         let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
+        if !d.warm && matches!(a.outcome, Outcome::Succeeded | Outcome::Miss) {
+            let stood = a.found.map_or(took < d.run + 0.5 * f.load(), |found| found == Found::Warm);
+            let cold = f64::from(!stood || a.outcome == Outcome::Miss);
+            self.cold += 0.05 * (cold - self.cold);
+            f.cold += 0.2 * (cold - f.cold);
+        }
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
         let ratio = (took / d.run.max(1.0)).min(10.0);
         v.out -= 1;
         v.out_work = (v.out_work - d.usual).max(0.0);
         p.out -= 1;
         if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
-            v.gap = (v.gap + 0.1 * ((now - v.heard) as f64 - v.gap)).max(GAP_FLOOR);
+            let late = now.saturating_sub(v.heard.max(d.due)) as f64;
+            if late > 0.0 {
+                self.gap += 0.05 * (late - self.gap);
+                v.gap = (v.gap + 0.1 * (late - v.gap)).max(GAP_FLOOR);
+            }
             v.heard = now;
         }
         v.errors += match a.outcome {
@@ -450,16 +522,14 @@
                 (v.shut_until, v.shut_for) = (0, 0);
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
-                self.work_rate = (faded + row.run / (STEADY * SECOND as f64), now);
+                self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)), now);
                     // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
-                    if d.uncrowded || row.seen < RUNS_SEEN {
-                        let alone = took / v.slow(now).max(1.0);
-                        f.run += 0.1 * (alone.min(3.0 * f.run) - f.run);
-                        row.seen = (row.seen + 1.0).min(100.0);
-                        row.run += (alone - row.run) / row.seen;
-                        row.pace += hint.map_or(0.0, |h| (alone / h.max(1) as f64 - row.pace) / row.seen);
+                    if d.uncrowded || row.run.seen < RUNS_SEEN {
+                        f.run.learn(took);
+                        row.run.learn(took);
+                        row.pace.learn(took / hint.unwrap_or(1).max(1) as f64);
                     }
                 } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - d.run);
@@ -576,18 +646,19 @@
         self.order(fid);
         let (inv, f, now) = (&self.invs[&id], &self.functions[&fid], self.now);
         let row = &self.rows[inv.call.trigger];
-        let alone = expected(&inv.call, f, row);
+        let (alone, run) = (expected(&inv.call, f, row), f.run.mean());
         let (n, size, fleet_slow) = self.fleet();
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
         let all_ill = 2 * f.order.iter().filter(|w| !self.invokers[w].well(now)).count() > n;
-        let mut best: Vec<(u64, InvokerId, bool, bool)> = Vec::new();
+        let mut best: Vec<(u64, InvokerId, bool, bool, f64)> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
-        for w in &f.order {
+        let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
+        for (i, w) in f.order.iter().enumerate() {
             let (v, p) = (&self.invokers[w], f.places.get(w));
             let warm = f.warm(*w, now, self.d.keep_alive);
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let barred = cooling || inv.tried.contains(w) || !self.may_send(inv, *w);
-            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run {
+            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run.mean() {
                 continue;
             }
             if best.len() >= f.members && below_target {
@@ -599,31 +670,37 @@
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
                 None => f.load(),
             };
+            // Where a miss costs a moment and a try, an unknown place is as good as any while tries are left.
+            let tries = self.d.misses && inv.hops == 0 && p.is_none_or(|p| now >= p.lacks_until);
+            let chance = if tries && some_warm {
+                0.0
+            } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) { f.cold } else { 1.0 };
             let slow = v.slow(now) / self.risen(v);
-            let queue = slow * f.run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
-            let usual = slow * f.run + queue;
-            let finish = load + slow * alone + queue;
+            let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
+            let usual = slow * run + queue;
+            let finish = chance * load + slow * alone + queue;
+            let due = load + slow * alone + queue;
             // Slowness is old news: where nothing of ours is out, one invocation may look how things stand.
             shortest = shortest.min(if v.out == 0 { 0.0 } else { usual });
-            below_target |= out < f.lanes && usual < TARGET * f.run;
+            below_target |= out < f.lanes && usual < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
-            best.push((finish as u64 / MILLI, *w, warm, awaited));
+            best.push((finish as u64 / MILLI, *w, warm, awaited, due));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
-        if self.d.misses && best.iter().any(|b| b.2) {
+        if self.d.misses && inv.hops > 0 && best.iter().any(|b| b.2) {
             best.retain(|b| b.2 || b.3);
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
         if shortest > self.patience(inv) && fleet_slow > JAMMED && self.harmless(inv, None, self.now) {
             return Choice::Nobody;
         }
-        best.retain(|b| b.0 == least);
-        let (finish, invoker, warm, awaited) = best[self.rng.usize(..best.len())];
+        best.retain(|b| b.0 as f64 <= least as f64 + TIE * alone / MILLI as f64);
+        let (_, invoker, warm, awaited, due) = best[self.rng.usize(..best.len())];
         let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
         match (awaited, self.d.misses && !warm && lacks) {
             (true, _) => Choice::Await(invoker),
             (_, true) => Choice::Order(invoker),
-            _ => Choice::Go { invoker, warm, finish: (finish * MILLI) as f64 },
+            _ => Choice::Go { invoker, warm, finish: due },
         }
     }
 
@@ -652,13 +729,14 @@
                 continue;
             }
             let rate = f.rate(now);
-            let demand = rate * f64::from(self.d.controllers) * f.run / SECOND as f64;
+            let demand = rate * f64::from(self.d.controllers) * f.run.mean() / SECOND as f64;
             let members = (demand / (f.lanes * FILL)).ceil().clamp(1.0, ready as f64);
             want.push((rate * self.rows[f.trigger].stated.billed_value, *fid, members as usize));
             room -= f.memory;
         }
         want.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let mut moves = ready;
+        let part = ready as f64 / f64::from(self.d.controllers);
+        self.moves = (self.moves + part).min(part.max(1.0));
         for (_, fid, members) in want {
             self.order(fid);
             let Some(f) = self.functions.get_mut(&fid) else { continue };
@@ -669,37 +747,37 @@
             } else if now >= *f.surplus_since.get_or_insert(now) + DWELL {
                 (f.members, f.surplus_since) = (f.members - 1, Some(now));
             }
-            moves -= self.fill_pool(fid, moves, acts);
+            self.fill_pool(fid, acts);
         }
     }
 
     /// Orders holds for members without a warm belief, and renews those about to lapse.
-    fn fill_pool(&mut self, fid: FnId, most: usize, acts: &mut dyn Acts) -> usize {
+    fn fill_pool(&mut self, fid: FnId, acts: &mut dyn Acts) {
         let (now, keep, size) = (self.now, self.d.keep_alive, self.fleet().1);
         let f = &self.functions[&fid];
         let able =
             |w: &&InvokerId| self.invokers[*w].well(now) && self.cold_room(&self.invokers[*w], size) >= 0.0;
         let members: Vec<InvokerId> = f.order.iter().filter(able).take(f.members).copied().collect();
-        let Some(f) = self.functions.get_mut(&fid) else { return 0 };
+        let Some(f) = self.functions.get_mut(&fid) else { return };
         for (w, p) in &mut f.places {
             p.off_since = if members.contains(w) { None } else { p.off_since.or(Some(now)) };
         }
-        let mut used = 0;
         for w in members {
             let f = &self.functions[&fid];
             let due = f.places.get(&w).is_none_or(|p| match f.warm(w, now, keep) {
                 true => p.out == 0 && now >= p.touched + (keep as f64 * RENEW_AT) as Tenths,
                 false => p.loading.is_none(),
             });
-            used += usize::from(due && used < most && self.order_load(w, fid, PLANNED_RATION, acts));
+            if due && self.moves >= 1.0 && self.order_load(w, fid, PLANNED_RATION, acts) {
+                self.moves -= 1.0;
+            }
         }
-        used
     }
 
     /// One hold order, if the pending cap and this part of the ration allow it.
     fn order_load(&mut self, w: InvokerId, fid: FnId, ration: f64, acts: &mut dyn Acts) -> bool {
         let (now, window) = (self.now, self.d.order_window);
-        let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(2);
+        let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(1);
         if !self.d.may_order || self.orders_out >= cap || !self.invokers.get(&w).is_some_and(Invoker::ready) {
             return false;
         }
@@ -776,7 +854,7 @@
             let out = self.invs.values().flat_map(|inv| &inv.out).filter(|d| d.invoker == w);
             let due = out.map(|d| d.due).min().unwrap_or(Tenths::MAX);
             let Some(v) = self.invokers.get_mut(&w) else { continue };
-            let phi = self.now.saturating_sub(v.heard.max(due)) as f64 / v.gap / std::f64::consts::LN_10;
+            let phi = self.now.saturating_sub(v.heard.max(due)) as f64 / v.gap.max(self.gap) / std::f64::consts::LN_10;
             let ask = phi > PHI_ASK || (v.shut_for > 0 && self.now >= v.shut_until);
             if ask && self.d.may_probe && v.ready() && self.now >= v.probed + PROBE_EVERY {
                 v.probed = self.now;
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -10,16 +10,28 @@
 fn traffic(bed: &mut Bed, function: FnId, a_second: u64, seconds: u64) {
     for _ in 0..a_second * seconds {
         bed.invoke(0, function, 4 * SECOND);
-        bed.pass(SECOND / a_second);
-        for (id, hop) in bed.out() {
-            if bed.k.now - bed.k.invs[&id].sent[hop].at >= RUN {
-                bed.answer(id, hop, Outcome::Succeeded, Some(Found::Warm));
-            }
+        let mut left = SECOND / a_second;
+        while left > 0 {
+            let step = left.min(RUN);
+            left -= step;
+            bed.pass(step);
+            answer_run(bed, RUN);
         }
-        while !bed.k.holds.is_empty() {
-            bed.held(0, HoldOutcome::Standing);
+    }
+}
+
+/// Whatever has run for so long ends well, and so do all orders; a copy stands from its first use on.
+fn answer_run(bed: &mut Bed, run: Tenths) {
+    for (id, hop) in bed.out() {
+        let (sent, function) = (&bed.k.invs[&id].sent[hop], bed.k.invs[&id].call.function);
+        if bed.k.now - sent.at >= run {
+            let new = bed.k.stands.insert((function, sent.invoker));
+            bed.answer(id, hop, Outcome::Succeeded, Some(if new { Found::BeganLoad } else { Found::Warm }));
         }
     }
+    while !bed.k.holds.is_empty() {
+        bed.held(0, HoldOutcome::Standing);
+    }
 }
 
 fn used(bed: &Bed, function: FnId, since: Tenths) -> BTreeSet<InvokerId> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use saltdrum::Controller;
 use saltdrum::port::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub const RUN: Tenths = 150 * MILLI;
 const CORES: f64 = 4.0;
@@ -34,6 +34,8 @@
     pub cancels: Vec<(InvId, u8)>,
     pub wakes: Vec<(Tenths, u64)>,
     pub come_back: Vec<Tenths>,
+    /// Where a copy has been seen to stand.
+    pub stands: BTreeSet<(FnId, InvokerId)>,
     ordered: Vec<Tenths>,
     taken: Vec<Tenths>,
     work: Vec<(InvokerId, Tenths)>,
@@ -218,6 +220,7 @@
             cancels: vec![],
             wakes: vec![],
             come_back: vec![],
+            stands: BTreeSet::new(),
             ordered: vec![],
             taken: vec![],
             work: vec![],
