Slowness of invokers seldom heard fades to the fleet's median

Cause: in an overload with a hundred controllers some invoker always had nothing of ours out, so nothing was refused early and 5 to 6 attempts an invocation kept all queues full.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -59,6 +59,8 @@
 /// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
 const FULL_SLOW: f64 = 3.0;
 const SLOW_FADES: f64 = 5.0;
+/// Median over mean of run times, roughly.
+const MEDIAN: f64 = 0.75;
 /// A fleet on which runs take this much longer than alone, on the mean, is jammed.
 const JAMMED: f64 = 1.5;
 /// What a tenant sends beyond its share waits this much less, and the least billed work down to this share.
@@ -222,6 +224,9 @@
     /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
     moves: f64,
     cold: f64,
+    /// Dispatches out, and how slow the fleet is: time of answers over time expected.
+    out: u32,
+    slow: (f64, Tenths),
     /// Mean gap between answers over all invokers: what stands for those seldom heard.
     gap: f64,
     /// Work that ended well a tenth, smoothed, and when that was last right.
@@ -234,6 +239,11 @@
     (-(dt as f64) / (span_s * SECOND as f64)).exp()
 }
 
+/// The median, followed from above and below in equal steps: hot spots move it little, an overload does.
+fn follow(median: f64, above: bool) -> f64 {
+    median * if above { 1.0 + LEARN } else { 1.0 - LEARN }
+}
+
 /// Run time of one invocation alone: by its hint, where it has one, else as its function's are.
 fn expected(call: &Invocation, f: &Function, row: &Row) -> f64 {
     call.work_hint.map_or(f.run.mean(), |h| h as f64 * row.pace.mean())
@@ -284,8 +294,9 @@
         self.listed.life == Life::Ready
     }
 
-    fn slow(&self, now: Tenths) -> f64 {
-        1.0 + (self.slow.0 - 1.0) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
+    /// Fades to the fleet's: with many controllers one hears of an invoker too seldom to know it jammed.
+    fn slow(&self, now: Tenths, fleet: f64) -> f64 {
+        fleet + (self.slow.0 - fleet) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
     }
 
     /// One whose shut time is over gets, after a probe has passed, a single invocation, whose answer decides.
@@ -313,6 +324,7 @@
             d,
             work_rate: (0.0, now),
             cold: 1.0,
+            slow: (1.0, now),
             gap: RUN_GUESS,
             list_version: 1,
             ..Default::default()
@@ -452,6 +464,7 @@
         let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run.mean(), self.now, inv.hops);
         v.heard = if v.out == 0 { sent } else { v.heard };
         let uncrowded = f64::from(v.out) < CORES;
+        self.out += 1;
         v.out += 1;
         v.out_work += usual;
         v.sent.push_back((sent, row.run.mean()));
@@ -501,6 +514,9 @@
         }
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
         let ratio = (took / d.run.max(1.0)).min(10.0);
+        let fleet = 1.0 + (self.slow.0 - 1.0) * decay(now - self.slow.1, SLOW_FADES);
+        let slow = v.slow(now, fleet);
+        self.out -= 1;
         v.out -= 1;
         v.out_work = (v.out_work - d.usual).max(0.0);
         p.out -= 1;
@@ -524,7 +540,8 @@
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
-                    v.slow = (v.slow(now) + 0.1 * (ratio - v.slow(now)), now);
+                    v.slow = (slow + 0.1 * (ratio - slow), now);
+                    self.slow = (follow(fleet, ratio > MEDIAN * fleet).max(1.0), now);
                     // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
                     if d.uncrowded || row.run.seen < RUNS_SEEN {
                         f.run.learn(took);
@@ -544,7 +561,8 @@
                 self.forget_copies(w);
             }
             Outcome::Full => {
-                v.slow = (v.slow(now).max(FULL_SLOW), now);
+                v.slow = (slow.max(FULL_SLOW), now);
+                self.slow = (follow(fleet, true), now);
                 v.shut_until = v.shut_until.max(now + SHUT_FULL);
             }
             _ => {}
@@ -601,13 +619,14 @@
         f.order_version = self.list_version;
     }
 
-    /// How many are ready, their size, and how slow those not shut are: an overload slows them all.
-    fn fleet(&self) -> (usize, f64, f64) {
+    /// How many are ready, and their size.
+    fn fleet(&self) -> (usize, f64) {
         let ready = || self.invokers.values().filter(|v| v.ready());
-        let open = ready().filter(|v| v.shut_for == 0);
-        let (n, slow) = open.fold((0.0, 0.0), |(n, slow), v| (n + 1.0, slow + v.slow(self.now)));
-        let size = ready().map(|v| v.listed.size.max(0.01)).sum();
-        (ready().count(), size, if n > 0.0 { slow / n } else { 1.0 })
+        (ready().count(), ready().map(|v| v.listed.size.max(0.01)).sum())
+    }
+
+    fn fleet_slow(&self) -> f64 {
+        1.0 + (self.slow.0 - 1.0) * decay(self.now - self.slow.1, SLOW_FADES)
     }
 
     /// What part of its full capacity an invoker has at least, by the stated slowest rise.
@@ -647,7 +666,7 @@
         let (inv, f, now) = (&self.invs[&id], &self.functions[&fid], self.now);
         let row = &self.rows[inv.call.trigger];
         let (alone, run) = (expected(&inv.call, f, row), f.run.mean());
-        let (n, size, fleet_slow) = self.fleet();
+        let ((n, size), fleet_slow) = (self.fleet(), self.fleet_slow());
         // Most of the fleet ill at once says more about the network or ourselves than about each of them.
         let all_ill = 2 * f.order.iter().filter(|w| !self.invokers[w].well(now)).count() > n;
         let mut best: Vec<(u64, InvokerId, bool, bool, f64)> = Vec::new();
@@ -675,13 +694,12 @@
             let chance = if tries && some_warm {
                 0.0
             } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) { f.cold } else { 1.0 };
-            let slow = v.slow(now) / self.risen(v);
+            let slow = v.slow(now, fleet_slow) / self.risen(v);
             let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
             let usual = slow * run + queue;
             let finish = chance * load + slow * alone + queue;
             let due = load + slow * alone + queue;
-            // Slowness is old news: where nothing of ours is out, one invocation may look how things stand.
-            shortest = shortest.min(if v.out == 0 { 0.0 } else { usual });
+            shortest = shortest.min(usual);
             below_target |= out < f.lanes && usual < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited, due));
@@ -691,7 +709,10 @@
             best.retain(|b| b.2 || b.3);
         }
         let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
-        if shortest > self.patience(inv) && fleet_slow > JAMMED && self.harmless(inv, None, self.now) {
+        // Slowness is old news: our part of one invocation an invoker may look how things stand.
+        let look = self.out == 0 || f64::from(self.out * self.d.controllers) < n as f64;
+        let jammed = fleet_slow > JAMMED && shortest > self.patience(inv);
+        if jammed && !look && self.harmless(inv, None, self.now) {
             return Choice::Nobody;
         }
         best.retain(|b| b.0 as f64 <= least as f64 + TIE * alone / MILLI as f64);
