A refusal for room tells one tenant and trigger type to go elsewhere, longer each time

Cause: invokers that refuse one tenant above a rate were held slow for everybody and asked again at once by the one they refuse. Refused tenants and types are kept by invoker, 0.5 s and twice as long each time until served; only refusals of two kinds count as slowness. Covers also plain full queues; may harm where one tenant alone fills all queues.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,7 +53,7 @@
 /// An ill invoker is shut for a time that doubles while it stays ill; one that refuses for room, shortly.
 const SHUT_FIRST: Tenths = 500 * MILLI;
 const SHUT_MOST: Tenths = 4 * SECOND;
-const SHUT_FULL: Tenths = 100 * MILLI;
+const SHUT_FULL: Tenths = 500 * MILLI;
 /// Share of recent dispatches that ended in errors from which an invoker counts as ill.
 const ERRORS_ILL: f64 = 0.4;
 /// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
@@ -156,6 +156,9 @@
     /// When it was last probed, until when that is owed, and whether a probe has passed since it was shut.
     probed: Tenths,
     proved: bool,
+    /// Tenants and trigger types that it refused for room since it last served them: how often in a row, and
+    /// until when they go elsewhere. Those of one only say nothing of its health for the others.
+    refused: BTreeMap<(usize, usize), (u32, Tenths)>,
     /// What was sent to it in the tipping window: when, and how much work.
     sent: VecDeque<(Tenths, f64)>,
 }
@@ -497,13 +500,14 @@
             inv.tried.push(d.invoker);
         }
         inv.done |= a.finished;
-        let (fid, trigger, hint) = (inv.call.function, inv.call.trigger, inv.call.work_hint);
-        self.learn(fid, trigger, hint, &d, &a);
+        let call = inv.call.clone();
+        self.learn(&call, &d, &a);
         (d.next)(self, acts);
     }
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
-    fn learn(&mut self, fid: FnId, trigger: usize, hint: Option<Tenths>, d: &Dispatch, a: &Answer) {
+    fn learn(&mut self, call: &Invocation, d: &Dispatch, a: &Answer) {
+        let (fid, trigger, hint, key) = (call.function, call.trigger, call.work_hint, (call.tenant, call.trigger));
         let (now, took, w) = (self.now, a.took as f64, d.invoker);
         let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
         if !d.warm && matches!(a.outcome, Outcome::Succeeded | Outcome::Miss) {
@@ -536,6 +540,7 @@
         match a.outcome {
             Outcome::Succeeded => {
                 (v.shut_until, v.shut_for) = (0, 0);
+                v.refused.remove(&key);
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
@@ -561,9 +566,13 @@
                 self.forget_copies(w);
             }
             Outcome::Full => {
-                v.slow = (slow.max(FULL_SLOW), now);
-                self.slow = (follow(fleet, true), now);
-                v.shut_until = v.shut_until.max(now + SHUT_FULL);
+                let (streak, until) = v.refused.entry(key).or_default();
+                *until = now + (SHUT_FULL << (*streak).min(5)).min(SHUT_MOST);
+                *streak += 1;
+                if v.refused.len() > 1 || self.rows.len().max(self.d.tenants.len()) < 2 {
+                    v.slow = (slow.max(FULL_SLOW), now);
+                    self.slow = (follow(fleet, true), now);
+                }
             }
             _ => {}
         }
@@ -676,7 +685,8 @@
             let (v, p) = (&self.invokers[w], f.places.get(w));
             let warm = f.warm(*w, now, self.d.keep_alive);
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
-            let barred = cooling || inv.tried.contains(w) || !self.may_send(inv, *w);
+            let refuses = v.refused.get(&(inv.call.tenant, inv.call.trigger)).is_some_and(|r| now < r.1);
+            let barred = cooling || refuses || inv.tried.contains(w) || !self.may_send(inv, *w);
             if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run.mean() {
                 continue;
             }
