--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,6 +21,7 @@
 const QUICK: f64 = 2.0;
 const STEADY: f64 = 8.0;
 const LONG: f64 = 30.0;
+const UNKNOWN: f64 = 10.0;
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
 /// Planned orders leave the rest of the order ration to misses.
@@ -212,6 +213,7 @@
 #[derive(Default)]
 pub struct Controller {
     now: Tenths,
+    born: Tenths,
     d: Deployment,
     rng: fastrand::Rng,
     rows: Vec<Row>,
@@ -284,11 +286,12 @@
     }
 
     /// Calls a second; the short span counts only as far as chance cannot explain it.
-    fn rate(&self, now: Tenths) -> f64 {
+    fn rate(&self, now: Tenths, born: Tenths) -> f64 {
         let faded = |rate: f64, span: f64| rate * decay(now - self.called, span);
         let sure = |rate: f64, span: f64| rate - (rate / span).sqrt();
         let short = sure(faded(self.quick, QUICK), QUICK).max(sure(faded(self.steady, STEADY), STEADY));
-        short.max(faded(self.long, LONG))
+        let known = LONG * (1.0 - decay(now - born, LONG));
+        short.max(faded(self.long, LONG) * LONG / (known + UNKNOWN))
     }
 }
 
@@ -321,6 +324,7 @@
         let row = |t: &TriggerType| Row { stated: t.clone(), run: Timed::new(RUN_GUESS), pace: Timed::new(1.0) };
         let mut c = Self {
             now,
+            born: now,
             rng: fastrand::Rng::with_seed(seed),
             rows: d.trigger_types.iter().map(row).collect(),
             tenants: d.tenants.iter().map(|t| (t.quota / f64::from(d.controllers), now)).collect(),
@@ -759,7 +763,7 @@
                 f.places.values_mut().for_each(|p| p.off_since = p.off_since.or(Some(now)));
                 continue;
             }
-            let rate = f.rate(now);
+            let rate = f.rate(now, self.born);
             let demand = rate * f64::from(self.d.controllers) * f.run.mean() / SECOND as f64;
             let members = (demand / (f.lanes * FILL)).ceil().clamp(1.0, ready as f64);
             want.push((rate * self.rows[f.trigger].stated.billed_value, *fid, members as usize));
