Others' invocations at a place and busy cores count in the expected finish

Cause: own dispatches say nearly nothing of an invoker that hundreds share. Crowd told in answers stands for the lanes taken, a busy report for up to two runs, both fading in 2 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,11 @@
 const FILL: f64 = 0.2;
 /// Share of the fleet's memory that pools may claim; the rest is for work and for what others loaded.
 const POOL_MEMORY: f64 = 0.6;
+/// Reports of busy cores and of other controllers' invocations fade in so many seconds; from this share of
+/// cores on an invoker is busy, and fully busy cores cost so many runs.
+const CROWD_FADES: f64 = 2.0;
+const BUSY: f64 = 0.8;
+const BUSY_RUNS: f64 = 2.0;
 /// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
 const QUICK: f64 = 2.0;
 const STEADY: f64 = 8.0;
@@ -151,6 +156,8 @@
     gap: f64,
     /// Time that answers took over the time expected of them, and when that was last learned.
     slow: (f64, Tenths),
+    /// How far its cores were over the share reported as busy, and when.
+    busy: (f64, Tenths),
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
@@ -176,6 +183,8 @@
     cooldown: Tenths,
     lacks_until: Tenths,
     out: u32,
+    /// Invocations of the function that an answer found there, and when.
+    crowd: (f64, Tenths),
 }
 
 struct Function {
@@ -536,6 +545,8 @@
             }
             v.heard = now;
         }
+        p.crowd = a.crowd.map_or(p.crowd, |n| (f64::from(n), now));
+        v.busy = a.report.util.map_or(v.busy, |u| (((u - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0), now));
         v.errors += match a.outcome {
             Outcome::Succeeded => -0.2 * v.errors,
             Outcome::Errored => 0.2 * (1.0 - v.errors),
@@ -697,7 +708,8 @@
             if best.len() >= f.members && below_target {
                 break;
             }
-            let out = p.map_or(0.0, |p| f64::from(p.out));
+            let crowd = p.map_or(0.0, |p| p.crowd.0 * decay(now - p.crowd.1, CROWD_FADES));
+            let out = p.map_or(0.0, |p| f64::from(p.out)).max(crowd);
             let load = match p.and_then(|p| p.loading) {
                 _ if warm => 0.0,
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
@@ -709,7 +721,8 @@
                 0.0
             } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) { f.cold } else { 1.0 };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
-            let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
+            let busy = BUSY_RUNS * v.busy.0 * decay(now - v.busy.1, CROWD_FADES);
+            let queue = run * busy + slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
             let usual = slow * run + queue;
             let finish = chance * load + slow * alone + queue;
             let due = load + slow * alone + queue;
