--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,9 +19,9 @@
 const POOL_MEMORY: f64 = 0.6;
 /// Reports of busy cores and of other controllers' invocations fade in so many seconds; from this share of
 /// cores on an invoker is busy, and fully busy cores cost so many runs.
-const CROWD_FADES: f64 = 2.0;
+const CROWD_FADES: f64 = 5.0;
 const BUSY: f64 = 0.8;
-const BUSY_RUNS: f64 = 2.0;
+const BUSY_RUNS: f64 = 4.0;
 /// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
 const QUICK: f64 = 2.0;
 const STEADY: f64 = 8.0;
