--- a/src/decide.rs
+++ b/src/decide.rs
@@ -238,6 +238,8 @@
     /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
     moves: f64,
     cold: f64,
+    /// How far over the busy share cores are on the mean: where all are, none is to be shunned.
+    busy: f64,
     /// Dispatches out, and how slow the fleet is: time of answers over time expected.
     out: u32,
     slow: (f64, Tenths),
@@ -546,7 +548,10 @@
             v.heard = now;
         }
         p.crowd = a.crowd.map_or(p.crowd, |n| (f64::from(n), now));
-        v.busy = a.report.util.map_or(v.busy, |u| (((u - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0), now));
+        if let Some(u) = a.report.util {
+            v.busy = (((u - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0), now);
+            self.busy += 0.05 * (v.busy.0 - self.busy);
+        }
         v.errors += match a.outcome {
             Outcome::Succeeded => -0.2 * v.errors,
             Outcome::Errored => 0.2 * (1.0 - v.errors),
@@ -721,13 +726,13 @@
                 0.0
             } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) { f.cold } else { 1.0 };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
-            let busy = BUSY_RUNS * v.busy.0 * decay(now - v.busy.1, CROWD_FADES);
-            let queue = run * busy + slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
+            let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
+            let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
             let usual = slow * run + queue;
-            let finish = chance * load + slow * alone + queue;
+            let finish = chance * load + slow * alone + queue + busy;
             let due = load + slow * alone + queue;
             shortest = shortest.min(usual);
-            below_target |= out < f.lanes && usual < TARGET * run;
+            below_target |= out < f.lanes && usual + busy < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited, due));
         }
