Own stalls seen, dispatches suspect by their own age, draws for cold invokers

Causes: a controller that had stood still took its own silence for the invokers'; answers lost while the invoker is heard were waited for until the client timeout; a part of a cold invoker under one invocation always rounded to none.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,8 @@
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
+/// A controller that had no turn for so long, though it looks every now and then, has stood still itself.
+const STALL: Tenths = 4 * LOOK_EVERY;
 /// From here on an invoker is probed; a probe that fails counts as silence, one that passes proves little.
 const PHI_ASK: f64 = 1.0;
 const PROBE_EVERY: Tenths = 500 * MILLI;
@@ -73,7 +75,7 @@
 const OVER_SHARE: f64 = 0.2;
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
-const COLD_MARGIN: f64 = 0.8;
+const COLD_MARGIN: f64 = 0.6;
 /// A throttled client may come back after this part of the objective: a retry may still be in time.
 const COME_BACK: Tenths = 8;
 const LAST_CALL: Tenths = 10 * MILLI; // lead of a final answer on the client timeout
@@ -86,7 +88,7 @@
 
 /// The mean of what is timed, told from its faster half alone: a jam stretches the slower half first, and
 /// none of many controllers sees by its own count that an invoker is crowded.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 struct Timed {
     low: f64,
     mid: f64,
@@ -127,6 +129,8 @@
     /// When an answer is expected, had all gone as the pick foresaw.
     due: Tenths,
     warm: bool,
+    /// A cancel is out for it.
+    moved: bool,
     uncrowded: bool,
     /// Run time expected of this invocation, and of its function's on the whole.
     run: f64,
@@ -166,6 +170,8 @@
     proved: bool,
     /// Tenants and trigger types that it refused for room since it last served them: how often in a row, and
     /// until when they go elsewhere. Those of one only say nothing of its health for the others.
+    /// This window's draw for what is under one invocation of a cold one's room.
+    luck: (f64, Tenths),
     refused: BTreeMap<(usize, usize), (u32, Tenths)>,
     /// What was sent to it in the tipping window: when, and how much work.
     sent: VecDeque<(Tenths, f64)>,
@@ -222,6 +228,7 @@
 #[derive(Default)]
 pub struct Controller {
     now: Tenths,
+    awake: Tenths,
     born: Tenths,
     d: Deployment,
     rng: fastrand::Rng,
@@ -245,6 +252,8 @@
     slow: (f64, Tenths),
     /// Mean gap between answers over all invokers: what stands for those seldom heard.
     gap: f64,
+    /// How late answers are that come after they were due.
+    late: Timed,
     /// Work that ended well a tenth, smoothed, and when that was last right.
     work_rate: (f64, Tenths),
     /// What is left of each tenant's share, and when that was last right.
@@ -306,6 +315,12 @@
     }
 }
 
+impl Inv {
+    fn late(&self, w: InvokerId, now: Tenths) -> bool {
+        !self.done && self.out.iter().any(|d| d.invoker == w && d.due < now)
+    }
+}
+
 impl Invoker {
     fn ready(&self) -> bool {
         self.listed.life == Life::Ready
@@ -332,7 +347,8 @@
 
 impl Controller {
     pub fn new(now: Tenths, d: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row = |t: &TriggerType| Row { stated: t.clone(), run: Timed::new(RUN_GUESS), pace: Timed::new(1.0) };
+        let row =
+            |t: &TriggerType| Row { stated: t.clone(), run: Timed::new(RUN_GUESS), pace: Timed::new(1.0) };
         let mut c = Self {
             now,
             born: now,
@@ -344,6 +360,7 @@
             cold: 1.0,
             slow: (1.0, now),
             gap: RUN_GUESS,
+            late: Timed::new(RUN_GUESS),
             list_version: 1,
             ..Default::default()
         };
@@ -354,7 +371,7 @@
     }
 
     pub fn listed(&mut self, now: Tenths, whole: bool, entries: &[Listed]) {
-        self.now = now;
+        self.turn(now);
         self.list_version += 1;
         if whole {
             self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
@@ -372,6 +389,18 @@
         }
     }
 
+    /// A turn that comes later than the next look was due: we stood still, nobody else did. Silence, lateness
+    /// and time taken stand still with us; what came meanwhile is read before anyone is judged.
+    fn turn(&mut self, now: Tenths) {
+        let stood = now.saturating_sub(self.now);
+        if stood > STALL {
+            self.awake = now;
+            self.invokers.values_mut().for_each(|v| v.heard = (v.heard + stood).min(now));
+            self.invs.values_mut().flat_map(|inv| &mut inv.out).for_each(|d| d.due += stood);
+        }
+        self.now = now;
+    }
+
     /// A process that died or started anew holds nothing.
     fn forget_copies(&mut self, w: InvokerId) {
         for p in self.functions.values_mut().filter_map(|f| f.places.get_mut(&w)) {
@@ -380,7 +409,7 @@
     }
 
     pub fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
-        self.now = now;
+        self.turn(now);
         self.taken.push_back(now);
         // A tenant's share is a bucket of two seconds; this controller fills its part of it.
         let mut over_share = false;
@@ -410,7 +439,7 @@
     }
 
     pub fn left(&mut self, now: Tenths, id: InvId) {
-        self.now = now;
+        self.turn(now);
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.done = true;
         if inv.out.is_empty() {
@@ -497,13 +526,24 @@
             Some(inv) if inv.out.is_empty() => c.send(id, acts),
             _ => {}
         });
-        inv.out.push(Dispatch { hop, invoker: w, sent, due, warm, uncrowded, run, usual, next });
+        inv.out.push(Dispatch {
+            hop,
+            invoker: w,
+            sent,
+            due,
+            warm,
+            moved: false,
+            uncrowded,
+            run,
+            usual,
+            next,
+        });
         inv.hops += 1;
         acts.dispatch(id, w, 0);
     }
 
     pub fn answered(&mut self, now: Tenths, a: Answer, acts: &mut dyn Acts) {
-        self.now = now;
+        self.turn(now);
         let Some(inv) = self.invs.get_mut(&a.inv) else { return };
         let Some(i) = inv.out.iter().position(|d| d.hop == a.hop) else { return };
         let d = inv.out.remove(i);
@@ -522,7 +562,8 @@
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
     fn learn(&mut self, call: &Invocation, d: &Dispatch, a: &Answer) {
-        let (fid, trigger, hint, key) = (call.function, call.trigger, call.work_hint, (call.tenant, call.trigger));
+        let (fid, trigger, hint, key) =
+            (call.function, call.trigger, call.work_hint, (call.tenant, call.trigger));
         let (now, took, w) = (self.now, a.took as f64, d.invoker);
         let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
         if !d.warm && matches!(a.outcome, Outcome::Succeeded | Outcome::Miss) {
@@ -532,7 +573,7 @@
             f.cold += 0.2 * (cold - f.cold);
         }
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
-        let ratio = (took / d.run.max(1.0)).min(10.0);
+        let (ratio, stalled) = ((took / d.run.max(1.0)).min(10.0), self.awake > d.sent);
         let fleet = 1.0 + (self.slow.0 - 1.0) * decay(now - self.slow.1, SLOW_FADES);
         let slow = v.slow(now, fleet);
         self.out -= 1;
@@ -541,9 +582,10 @@
         p.out -= 1;
         if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
             let late = now.saturating_sub(v.heard.max(d.due)) as f64;
-            if late > 0.0 {
+            if late > 0.0 && !stalled {
                 self.gap += 0.05 * (late - self.gap);
                 v.gap = (v.gap + 0.1 * (late - v.gap)).max(GAP_FLOOR);
+                self.late.learn((now - d.due) as f64);
             }
             v.heard = now;
         }
@@ -564,7 +606,7 @@
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
-                if a.found.map_or(d.warm, |found| found == Found::Warm) {
+                if a.found.map_or(d.warm, |found| found == Found::Warm) && !stalled {
                     v.slow = (slow + 0.1 * (ratio - slow), now);
                     self.slow = (follow(fleet, ratio > MEDIAN * fleet).max(1.0), now);
                     // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
@@ -573,7 +615,7 @@
                         row.run.learn(took);
                         row.pace.learn(took / hint.unwrap_or(1).max(1) as f64);
                     }
-                } else if a.found == Some(Found::BeganLoad) {
+                } else if a.found == Some(Found::BeganLoad) && !stalled {
                     f.load_seen = f.load_seen.max(took - d.run);
                 }
                 (p.warm, p.loading) = (true, None);
@@ -627,7 +669,7 @@
     }
 
     pub fn woken(&mut self, now: Tenths, token: u64, acts: &mut dyn Acts) {
-        self.now = now;
+        self.turn(now);
         if let Some(then) = self.timers.remove(&token) {
             then(self, acts);
         }
@@ -667,7 +709,8 @@
 
     /// Rule 4: work that may be sent now. What we got done, by size, stands for our part of the capacity:
     /// all controllers together never get done more than the fleet can do.
-    fn cold_room(&self, v: &Invoker, fleet_size: f64) -> f64 {
+    /// Where that is under one invocation, a draw a window gives one as often as the part says.
+    fn cold_room(&self, v: &Invoker, fleet_size: f64, run: f64) -> f64 {
         let risen = self.risen(v);
         if risen >= 1.0 {
             return f64::INFINITY;
@@ -675,7 +718,7 @@
         let window = self.d.tip_window;
         let part = self.work_rate.0 * v.listed.size / fleet_size.max(0.01);
         let sent: f64 = v.sent.iter().filter(|(at, _)| at + window > self.now).map(|(_, work)| work).sum();
-        COLD_MARGIN * self.d.tip_factor * risen * part * window as f64 - sent
+        COLD_MARGIN * self.d.tip_factor * risen * part * window as f64 + v.luck.0 * run - sent
     }
 
     /// How long a wait at the best invoker is still worth it: less for what earns little, so that in an
@@ -707,7 +750,8 @@
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let refuses = v.refused.get(&(inv.call.tenant, inv.call.trigger)).is_some_and(|r| now < r.1);
             let barred = cooling || refuses || inv.tried.contains(w) || !self.may_send(inv, *w);
-            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size) < row.run.mean() {
+            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size, row.run.mean()) < row.run.mean()
+            {
                 continue;
             }
             if best.len() >= f.members && below_target {
@@ -724,7 +768,11 @@
             let tries = self.d.misses && inv.hops == 0 && p.is_none_or(|p| now >= p.lacks_until);
             let chance = if tries && some_warm {
                 0.0
-            } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) { f.cold } else { 1.0 };
+            } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) {
+                f.cold
+            } else {
+                1.0
+            };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
             let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
             let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
@@ -808,8 +856,9 @@
     fn fill_pool(&mut self, fid: FnId, acts: &mut dyn Acts) {
         let (now, keep, size) = (self.now, self.d.keep_alive, self.fleet().1);
         let f = &self.functions[&fid];
-        let able =
-            |w: &&InvokerId| self.invokers[*w].well(now) && self.cold_room(&self.invokers[*w], size) >= 0.0;
+        let able = |w: &&InvokerId| {
+            self.invokers[*w].well(now) && self.cold_room(&self.invokers[*w], size, 0.0) >= 0.0
+        };
         let members: Vec<InvokerId> = f.order.iter().filter(able).take(f.members).copied().collect();
         let Some(f) = self.functions.get_mut(&fid) else { return };
         for (w, p) in &mut f.places {
@@ -868,7 +917,7 @@
     }
 
     pub fn held(&mut self, now: Tenths, a: HoldAnswer, acts: &mut dyn Acts) {
-        self.now = now;
+        self.turn(now);
         self.orders_out = self.orders_out.saturating_sub(1);
         let Some(f) = self.functions.get_mut(&a.function) else { return };
         let p = f.places.entry(a.invoker).or_default();
@@ -891,54 +940,73 @@
     }
 
     pub fn probed(&mut self, now: Tenths, w: InvokerId, ok: bool, acts: &mut dyn Acts) {
-        self.now = now;
+        self.turn(now);
         let Some(v) = self.invokers.get_mut(&w) else { return };
         v.proved = ok;
         if !ok {
             v.shut(now);
-            self.move_off(w, acts);
+            let late = |(_, inv): &(&InvId, &Inv)| inv.late(w, now);
+            let late: Vec<InvId> = self.invs.iter().filter(late).map(|(id, _)| *id).collect();
+            late.into_iter().for_each(|id| self.move_off(id, w, acts));
         }
     }
 
-    /// Looks for unusual silence, and moves what waits at a silent invoker where a repeat does no harm.
+    /// Looks for unusual silence of an invoker, and for dispatches that are out unusually long though it is
+    /// heard: their answers may be lost. Both wait elsewhere, where a repeat does no harm.
     fn look(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + LOOK_EVERY, acts, |c, acts| c.look(acts));
-        for w in self.invokers.keys().copied().collect::<Vec<_>>() {
-            let out = self.invs.values().flat_map(|inv| &inv.out).filter(|d| d.invoker == w);
-            let due = out.map(|d| d.due).min().unwrap_or(Tenths::MAX);
-            let Some(v) = self.invokers.get_mut(&w) else { continue };
-            let phi = self.now.saturating_sub(v.heard.max(due)) as f64 / v.gap.max(self.gap) / std::f64::consts::LN_10;
+        let mut first: BTreeMap<InvokerId, Tenths> = BTreeMap::new();
+        let too_late = (self.late.mean().max(GAP_FLOOR) * PHI * std::f64::consts::LN_10) as Tenths;
+        let jammed = self.fleet_slow() > JAMMED;
+        let mut late = Vec::new();
+        for (id, inv) in self.invs.iter().filter(|(_, inv)| !inv.done) {
+            for d in &inv.out {
+                let since = first.entry(d.invoker).or_insert(Tenths::MAX);
+                *since = d.due.min(*since);
+                if !jammed && !d.moved && self.now > d.due.saturating_add(too_late) {
+                    late.push((*id, d.invoker));
+                }
+            }
+        }
+        for (w, v) in &mut self.invokers {
+            let since = v.heard.max(first.get(w).copied().unwrap_or(Tenths::MAX));
+            let phi = self.now.saturating_sub(since) as f64 / v.gap.max(self.gap) / std::f64::consts::LN_10;
             let ask = phi > PHI_ASK || (v.shut_for > 0 && self.now >= v.shut_until);
             if ask && self.d.may_probe && v.ready() && self.now >= v.probed + PROBE_EVERY {
                 v.probed = self.now;
-                acts.probe(w);
+                acts.probe(*w);
             }
             v.proved |= !self.d.may_probe;
+            if self.now >= v.luck.1 + self.d.tip_window {
+                v.luck = (self.rng.f64(), self.now);
+            }
             if phi > PHI {
                 v.shut(self.now);
-                self.move_off(w, acts);
+                late.extend(
+                    self.invs.iter().filter(|(_, inv)| inv.late(*w, self.now)).map(|(id, _)| (*id, *w)),
+                );
             }
         }
+        late.sort_unstable();
+        late.dedup();
+        late.into_iter().for_each(|(id, w)| self.move_off(id, w, acts));
     }
 
-    fn move_off(&mut self, w: InvokerId, acts: &mut dyn Acts) {
-        let late = |d: &Dispatch| d.invoker == w && d.due < self.now;
-        let stuck = |inv: &Inv| !inv.done && inv.out.iter().any(late) && inv.hops < self.d.dispatch_limit;
-        let ids: Vec<InvId> = self.invs.iter().filter(|(_, inv)| stuck(inv)).map(|(id, _)| *id).collect();
-        for id in ids {
-            if self.d.parallel_dispatches {
-                if let Choice::Go { invoker, warm, finish } = self.pick(id)
-                    && invoker != w
-                    && self.invs[&id].out.len() < 2
-                {
-                    self.dispatch(id, invoker, warm, finish, acts);
-                }
-            } else if self.d.may_cancel && self.harmless(&self.invs[&id], None, self.now + SECOND) {
-                let Some(inv) = self.invs.get_mut(&id) else { continue };
-                for d in inv.out.iter_mut().filter(|d| d.invoker == w) {
-                    d.due = Tenths::MAX;
-                    acts.cancel(id, d.hop);
-                }
+    /// A second dispatch where two may be out, else a cancel, whose outcome sends it on.
+    fn move_off(&mut self, id: InvId, w: InvokerId, acts: &mut dyn Acts) {
+        let Some(inv) = self.invs.get(&id).filter(|inv| inv.hops < self.d.dispatch_limit) else { return };
+        if self.d.parallel_dispatches {
+            if inv.out.len() < 2
+                && let Choice::Go { invoker, warm, finish } = self.pick(id)
+                && invoker != w
+            {
+                self.dispatch(id, invoker, warm, finish, acts);
+            }
+        } else if self.d.may_cancel && self.harmless(inv, None, self.now + SECOND) {
+            let Some(inv) = self.invs.get_mut(&id) else { return };
+            for d in inv.out.iter_mut().filter(|d| d.invoker == w && !d.moved) {
+                (d.moved, d.due) = (true, d.due.min(self.now));
+                acts.cancel(id, d.hop);
             }
         }
     }
