--- a/src/decide.rs
+++ b/src/decide.rs
@@ -606,7 +606,7 @@
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
                 let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
                 self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
-                if a.found.map_or(d.warm, |found| found == Found::Warm) && !stalled {
+                if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (slow + 0.1 * (ratio - slow), now);
                     self.slow = (follow(fleet, ratio > MEDIAN * fleet).max(1.0), now);
                     // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
@@ -615,7 +615,7 @@
                         row.run.learn(took);
                         row.pace.learn(took / hint.unwrap_or(1).max(1) as f64);
                     }
-                } else if a.found == Some(Found::BeganLoad) && !stalled {
+                } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - d.run);
                 }
                 (p.warm, p.loading) = (true, None);
