--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,10 +22,9 @@
 const CROWD_FADES: f64 = 5.0;
 const BUSY: f64 = 0.8;
 const BUSY_RUNS: f64 = 4.0;
-/// Call rates are smoothed over these seconds: the short span sees a hot function, the long one is steady.
-const QUICK: f64 = 2.0;
-const STEADY: f64 = 8.0;
-const LONG: f64 = 30.0;
+/// Call rates are smoothed over these seconds: the short ones see a hot function, the long one is steady. A
+/// controller that has just started counts its first calls over the last of these figures.
+const SPANS: [f64; 3] = [2.0, 8.0, 30.0];
 const UNKNOWN: f64 = 10.0;
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
@@ -193,11 +192,11 @@
     crowd: (f64, Tenths),
 }
 
+#[derive(Default)]
 struct Function {
     trigger: usize,
-    quick: f64,
-    steady: f64,
-    long: f64,
+    /// Calls seen, fading in each of the spans.
+    calls: [f64; 3],
     called: Tenths,
     run: Timed,
     lanes: f64,
@@ -214,11 +213,8 @@
 }
 
 enum Choice {
-    Go {
-        invoker: InvokerId,
-        warm: bool,
-        finish: f64,
-    },
+    /// Where to, whether a copy is believed to stand, and when an answer is due.
+    Go(InvokerId, bool, Tenths),
     Await(InvokerId),
     /// It was told lately that no copy is there, and a dispatch would bring none.
     Order(InvokerId),
@@ -275,28 +271,6 @@
 }
 
 impl Function {
-    fn new(trigger: usize, now: Tenths, run: Timed, cold: f64) -> Self {
-        let (order, places) = (Vec::new(), BTreeMap::new());
-        Self {
-            trigger,
-            quick: 0.0,
-            steady: 0.0,
-            long: 0.0,
-            called: now,
-            run: Timed { seen: run.seen.min(10.0), ..run },
-            lanes: 1.0,
-            memory: 0.0,
-            load_told: None,
-            load_seen: 0.0,
-            cold,
-            members: 1,
-            surplus_since: None,
-            order,
-            order_version: 0,
-            places,
-        }
-    }
-
     fn load(&self) -> f64 {
         self.load_told.unwrap_or(if self.load_seen > 0.0 { self.load_seen } else { LOAD_GUESS })
     }
@@ -305,13 +279,12 @@
         self.places.get(&w).is_some_and(|p| p.warm && (p.out > 0 || now < p.touched + keep))
     }
 
-    /// Calls a second; the short span counts only as far as chance cannot explain it.
+    /// Calls a second: over the long span, or over a short one as far as chance can't explain it.
     fn rate(&self, now: Tenths, born: Tenths) -> f64 {
-        let faded = |rate: f64, span: f64| rate * decay(now - self.called, span);
-        let sure = |rate: f64, span: f64| rate - (rate / span).sqrt();
-        let short = sure(faded(self.quick, QUICK), QUICK).max(sure(faded(self.steady, STEADY), STEADY));
-        let known = LONG * (1.0 - decay(now - born, LONG));
-        short.max(faded(self.long, LONG) * LONG / (known + UNKNOWN))
+        let calls = |i: usize| self.calls[i] * decay(now - self.called, SPANS[i]);
+        let sure = |i: usize| (calls(i) - calls(i).sqrt()) / SPANS[i];
+        let known = SPANS[2] * (1.0 - decay(now - born, SPANS[2]));
+        sure(0).max(sure(1)).max(calls(2) / (known + UNKNOWN))
     }
 }
 
@@ -422,12 +395,13 @@
             over_share = *left < 1.0;
             *left -= if over_share { 0.0 } else { 1.0 };
         }
-        let (cold, run) = (self.cold, &self.rows[call.trigger].run);
-        let new = || Function::new(call.trigger, now, run.clone(), cold);
-        let f = self.functions.entry(call.function).or_insert_with(new);
-        f.quick = f.quick * decay(now - f.called, QUICK) + 1.0 / QUICK;
-        f.steady = f.steady * decay(now - f.called, STEADY) + 1.0 / STEADY;
-        f.long = f.long * decay(now - f.called, LONG) + 1.0 / LONG;
+        let (cold, run) = (self.cold, self.rows[call.trigger].run.clone());
+        let new =
+            Function { trigger: call.trigger, called: now, members: 1, run, cold, ..Default::default() };
+        let f = self.functions.entry(call.function).or_insert(new);
+        for (calls, span) in f.calls.iter_mut().zip(SPANS) {
+            *calls = *calls * decay(now - f.called, span) + 1.0;
+        }
         (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
@@ -490,7 +464,7 @@
             return self.settle(id, acts);
         }
         match self.pick(id) {
-            Choice::Go { invoker, warm, finish } => self.dispatch(id, invoker, warm, finish, acts),
+            Choice::Go(w, warm, due) => self.dispatch(id, w, warm, due, acts),
             Choice::Await(w) => self.await_hold(id, w, acts),
             Choice::Order(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
             // The ration or the pending cap is used up: it frees up with time, tries don't.
@@ -502,12 +476,12 @@
         }
     }
 
-    fn dispatch(&mut self, id: InvId, w: InvokerId, warm: bool, finish: f64, acts: &mut dyn Acts) {
+    fn dispatch(&mut self, id: InvId, invoker: InvokerId, warm: bool, due: Tenths, acts: &mut dyn Acts) {
         let fid = self.invs[&id].call.function;
         let loads = !warm && !self.d.misses;
-        self.make_room(w, fid, loads, acts);
+        self.make_room(invoker, fid, loads, acts);
         let (Some(inv), Some(f)) = (self.invs.get_mut(&id), self.functions.get_mut(&fid)) else { return };
-        let (Some(v), row) = (self.invokers.get_mut(&w), &self.rows[inv.call.trigger]) else { return };
+        let (Some(v), row) = (self.invokers.get_mut(&invoker), &self.rows[inv.call.trigger]) else { return };
         let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run.mean(), self.now, inv.hops);
         v.heard = if v.out == 0 { sent } else { v.heard };
         let uncrowded = f64::from(v.out) < CORES;
@@ -516,30 +490,19 @@
         v.out_work += usual;
         v.sent.push_back((sent, row.run.mean()));
         while v.sent.pop_front_if(|(at, _)| *at + self.d.tip_window <= sent).is_some() {}
-        let p = f.places.entry(w).or_default();
+        let p = f.places.entry(invoker).or_default();
         p.out += 1;
         p.touched = sent;
         p.loading = p.loading.or(loads.then_some(sent));
-        let due = sent + finish as Tenths;
         let next: Next = Box::new(move |c, acts| match c.invs.get(&id) {
             Some(inv) if inv.done => c.left(c.now, id),
             Some(inv) if inv.out.is_empty() => c.send(id, acts),
             _ => {}
         });
-        inv.out.push(Dispatch {
-            hop,
-            invoker: w,
-            sent,
-            due,
-            warm,
-            moved: false,
-            uncrowded,
-            run,
-            usual,
-            next,
-        });
+        let moved = false;
+        inv.out.push(Dispatch { hop, invoker, sent, due, warm, moved, uncrowded, run, usual, next });
         inv.hops += 1;
-        acts.dispatch(id, w, 0);
+        acts.dispatch(id, invoker, 0);
     }
 
     pub fn answered(&mut self, now: Tenths, a: Answer, acts: &mut dyn Acts) {
@@ -604,8 +567,8 @@
                 (v.shut_until, v.shut_for) = (0, 0);
                 v.refused.remove(&key);
                 // Only what was done counts: work sent in vain must not widen a cold invoker's part (rule 4).
-                let faded = self.work_rate.0 * decay(now - self.work_rate.1, STEADY);
-                self.work_rate = (faded + row.run.mean() / (STEADY * SECOND as f64), now);
+                let faded = self.work_rate.0 * decay(now - self.work_rate.1, SPANS[1]);
+                self.work_rate = (faded + row.run.mean() / (SPANS[1] * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (slow + 0.1 * (ratio - slow), now);
                     self.slow = (follow(fleet, ratio > MEDIAN * fleet).max(1.0), now);
@@ -801,7 +764,7 @@
         match (awaited, self.d.misses && !warm && lacks) {
             (true, _) => Choice::Await(invoker),
             (_, true) => Choice::Order(invoker),
-            _ => Choice::Go { invoker, warm, finish: due },
+            _ => Choice::Go(invoker, warm, now + due as Tenths),
         }
     }
 
@@ -880,7 +843,10 @@
     fn order_load(&mut self, w: InvokerId, fid: FnId, ration: f64, acts: &mut dyn Acts) -> bool {
         let (now, window) = (self.now, self.d.order_window);
         let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(1);
-        if !self.d.may_order || self.orders_out >= cap || !self.invokers.get(&w).is_some_and(Invoker::ready) {
+        if !self.d.may_order
+            || (ration < 1.0 && self.orders_out >= cap)
+            || !self.invokers.get(&w).is_some_and(Invoker::ready)
+        {
             return false;
         }
         while self.orders.pop_front_if(|at| *at + window + MILLI <= now).is_some() {}
@@ -997,10 +963,10 @@
         let Some(inv) = self.invs.get(&id).filter(|inv| inv.hops < self.d.dispatch_limit) else { return };
         if self.d.parallel_dispatches {
             if inv.out.len() < 2
-                && let Choice::Go { invoker, warm, finish } = self.pick(id)
-                && invoker != w
+                && let Choice::Go(other, warm, due) = self.pick(id)
+                && other != w
             {
-                self.dispatch(id, invoker, warm, finish, acts);
+                self.dispatch(id, other, warm, due, acts);
             }
         } else if self.d.may_cancel && self.harmless(inv, None, self.now + SECOND) {
             let Some(inv) = self.invs.get_mut(&id) else { return };
