Probing is gone: it showed nothing outside noise

An invoker shut proves itself by one invocation; a failed probe had shut hung ones no sooner than silence does. 20 lines less.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -151,7 +151,7 @@
                 let invoker = f.u32("invoker")?;
                 let ok = outcome(f.u8("result")?)? == Outcome::Succeeded;
                 f.values()?;
-                self.guard(id, |w| c.probed(now, invoker, ok, w))
+                self.guard(id, |_| c.probed(now, invoker, ok))
             }
             9 => {
                 let inv = read_invocation(f, *trigger_types)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,9 +53,6 @@
 const PHI: f64 = 3.0;
 /// A controller that had no turn for so long, though it looks every now and then, has stood still itself.
 const STALL: Tenths = 4 * LOOK_EVERY;
-/// From here on an invoker is probed; a probe that fails counts as silence, one that passes proves little.
-const PHI_ASK: f64 = 1.0;
-const PROBE_EVERY: Tenths = 500 * MILLI;
 const GAP_FLOOR: f64 = 30.0 * MILLI as f64;
 /// An ill invoker is shut for a time that doubles while it stays ill; one that refuses for room, shortly.
 const SHUT_FIRST: Tenths = 500 * MILLI;
@@ -164,9 +161,6 @@
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
-    /// When it was last probed, until when that is owed, and whether a probe has passed since it was shut.
-    probed: Tenths,
-    proved: bool,
     /// Tenants and trigger types that it refused for room since it last served them: how often in a row, and
     /// until when they go elsewhere. Those of one only say nothing of its health for the others.
     /// This window's draw for what is under one invocation of a cold one's room.
@@ -304,16 +298,15 @@
         fleet + (self.slow.0 - fleet) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
     }
 
-    /// One whose shut time is over gets, after a probe has passed, a single invocation, whose answer decides.
+    /// One whose shut time is over gets a single invocation, whose answer decides.
     fn well(&self, now: Tenths) -> bool {
-        now >= self.shut_until && (self.shut_for == 0 || (self.proved && self.out == 0))
+        now >= self.shut_until && (self.shut_for == 0 || self.out == 0)
     }
 
     fn shut(&mut self, now: Tenths) {
         if now >= self.shut_until {
             self.shut_for = (2 * self.shut_for).clamp(SHUT_FIRST, SHUT_MOST);
             self.shut_until = now + self.shut_for;
-            self.proved = false;
         }
     }
 }
@@ -905,16 +898,9 @@
         waiting.into_iter().for_each(|then| then(self, acts));
     }
 
-    pub fn probed(&mut self, now: Tenths, w: InvokerId, ok: bool, acts: &mut dyn Acts) {
+    /// Nothing is asked of probes: they pass at invokers that answer nothing, and hundreds would ask.
+    pub fn probed(&mut self, now: Tenths, _: InvokerId, _: bool) {
         self.turn(now);
-        let Some(v) = self.invokers.get_mut(&w) else { return };
-        v.proved = ok;
-        if !ok {
-            v.shut(now);
-            let late = |(_, inv): &(&InvId, &Inv)| inv.late(w, now);
-            let late: Vec<InvId> = self.invs.iter().filter(late).map(|(id, _)| *id).collect();
-            late.into_iter().for_each(|id| self.move_off(id, w, acts));
-        }
     }
 
     /// Looks for unusual silence of an invoker, and for dispatches that are out unusually long though it is
@@ -937,12 +923,6 @@
         for (w, v) in &mut self.invokers {
             let since = v.heard.max(first.get(w).copied().unwrap_or(Tenths::MAX));
             let phi = self.now.saturating_sub(since) as f64 / v.gap.max(self.gap) / std::f64::consts::LN_10;
-            let ask = phi > PHI_ASK || (v.shut_for > 0 && self.now >= v.shut_until);
-            if ask && self.d.may_probe && v.ready() && self.now >= v.probed + PROBE_EVERY {
-                v.probed = self.now;
-                acts.probe(*w);
-            }
-            v.proved |= !self.d.may_probe;
             if self.now >= v.luck.1 + self.d.tip_window {
                 v.luck = (self.rng.f64(), self.now);
             }
