--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,8 +46,6 @@
 const CORES: f64 = 3.0;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
 const TARGET: f64 = 4.0;
-/// Finishes that differ by less than this part of a run are ties: no estimate is that good.
-const TIE: f64 = 0.25;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
@@ -751,7 +749,7 @@
         if jammed && !look && self.harmless(inv, None, self.now) {
             return Choice::Nobody;
         }
-        best.retain(|b| b.0 as f64 <= least as f64 + TIE * alone / MILLI as f64);
+        best.retain(|b| b.0 == least);
         let (_, invoker, warm, awaited, due) = best[self.rng.usize(..best.len())];
         let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
         match (awaited, self.d.misses && !warm && lacks) {
