--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,8 +65,7 @@
 const MEDIAN: f64 = 0.75;
 /// A fleet on which runs take this much longer than alone, on the mean, is jammed.
 const JAMMED: f64 = 1.5;
-/// What a tenant sends beyond its share waits this much less, and the least billed work down to this share.
-const OVER_SHARE: f64 = 0.2;
+/// The least billed work waits this much less.
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.6;
@@ -135,7 +134,6 @@
 struct Inv {
     call: Invocation,
     arrived: Tenths,
-    over_share: bool,
     out: Vec<Dispatch>,
     hops: u8,
     /// The first dispatch that may have run: when it was sent, and where.
@@ -150,8 +148,6 @@
     out: u32,
     out_work: f64,
     heard: Tenths,
-    /// Mean gap between answers while one is owed.
-    gap: f64,
     /// Time that answers took over the time expected of them, and when that was last learned.
     slow: (f64, Tenths),
     /// How far its cores were over the share reported as busy, and when.
@@ -195,7 +191,6 @@
     memory: f64,
     load_told: Option<f64>,
     load_seen: f64,
-    cold: f64,
     /// Members wanted, and since when fewer would do.
     members: usize,
     surplus_since: Option<Tenths>,
@@ -238,14 +233,12 @@
     /// Dispatches out, and how slow the fleet is: time of answers over time expected.
     out: u32,
     slow: (f64, Tenths),
-    /// Mean gap between answers over all invokers: what stands for those seldom heard.
+    /// How long past due the next answer of an invoker comes, on the mean of all: few hear often of each.
     gap: f64,
     /// How late answers are that come after they were due.
     late: Timed,
     /// Work that ended well a tenth, smoothed, and when that was last right.
     work_rate: (f64, Tenths),
-    /// What is left of each tenant's share, and when that was last right.
-    tenants: Vec<(f64, Tenths)>,
 }
 
 fn decay(dt: Tenths, span_s: f64) -> f64 {
@@ -318,7 +311,6 @@
             born: now,
             rng: fastrand::Rng::with_seed(seed),
             rows: d.trigger_types.iter().map(row).collect(),
-            tenants: d.tenants.iter().map(|t| (t.quota / f64::from(d.controllers), now)).collect(),
             d,
             work_rate: (0.0, now),
             cold: 1.0,
@@ -341,8 +333,7 @@
             self.invokers.values_mut().for_each(|v| v.listed.life = Life::Gone);
         }
         for l in entries {
-            let new =
-                || Invoker { listed: *l, heard: now, gap: GAP_FLOOR, slow: (1.0, now), ..Default::default() };
+            let new = || Invoker { listed: *l, heard: now, slow: (1.0, now), ..Default::default() };
             let v = self.invokers.entry(l.invoker).or_insert_with(new);
             let restarted = l.started.is_some() && l.started != v.listed.started;
             v.listed = *l;
@@ -375,20 +366,8 @@
     pub fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
         self.turn(now);
         self.taken.push_back(now);
-        // A tenant's share is a bucket of two seconds; this controller fills its part of it.
-        let mut over_share = false;
-        if let (Some(t), Some((left, at))) =
-            (self.d.tenants.get(call.tenant), self.tenants.get_mut(call.tenant))
-        {
-            let quota = t.quota / f64::from(self.d.controllers);
-            *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(2.0 * quota);
-            *at = now;
-            over_share = *left < 1.0;
-            *left -= if over_share { 0.0 } else { 1.0 };
-        }
-        let (cold, run) = (self.cold, self.rows[call.trigger].run.clone());
-        let new =
-            Function { trigger: call.trigger, called: now, members: 1, run, cold, ..Default::default() };
+        let run = self.rows[call.trigger].run.clone();
+        let new = Function { trigger: call.trigger, called: now, members: 1, run, ..Default::default() };
         let f = self.functions.entry(call.function).or_insert(new);
         for (calls, span) in f.calls.iter_mut().zip(SPANS) {
             *calls = *calls * decay(now - f.called, span) + 1.0;
@@ -397,8 +376,7 @@
         f.load_told = call.load_hint.map(|l| l as f64);
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
         let (id, out, tried) = (call.id, Vec::new(), Vec::new());
-        let new =
-            Inv { call, arrived: now, over_share, out, hops: 0, may_have_run: None, tried, done: false };
+        let new = Inv { call, arrived: now, out, hops: 0, may_have_run: None, tried, done: false };
         self.invs.insert(id, new);
         self.send(id, acts);
     }
@@ -524,7 +502,6 @@
             let stood = a.found.map_or(took < d.run + 0.5 * f.load(), |found| found == Found::Warm);
             let cold = f64::from(!stood || a.outcome == Outcome::Miss);
             self.cold += 0.05 * (cold - self.cold);
-            f.cold += 0.2 * (cold - f.cold);
         }
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
         let (ratio, stalled) = ((took / d.run.max(1.0)).min(10.0), self.awake > d.sent);
@@ -537,8 +514,7 @@
         if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
             let late = now.saturating_sub(v.heard.max(d.due)) as f64;
             if late > 0.0 && !stalled {
-                self.gap += 0.05 * (late - self.gap);
-                v.gap = (v.gap + 0.1 * (late - v.gap)).max(GAP_FLOOR);
+                self.gap = (self.gap + 0.05 * (late - self.gap)).max(GAP_FLOOR);
                 self.late.learn((now - d.due) as f64);
             }
             v.heard = now;
@@ -680,9 +656,8 @@
     fn patience(&self, inv: &Inv) -> f64 {
         let row = &self.rows[inv.call.trigger].stated;
         let most = self.rows.iter().map(|r| r.stated.billed_value).fold(1e-9, f64::max);
-        let share = if inv.over_share { OVER_SHARE } else { 1.0 };
         let left = row.objective.saturating_sub(self.now - inv.arrived) as f64;
-        share * left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * row.billed_value / most)
+        left * (PATIENCE_LEAST + (1.0 - PATIENCE_LEAST) * row.billed_value / most)
     }
 
     /// Earliest finish in the pool; along the order when all members are past their target load.
@@ -693,8 +668,6 @@
         let row = &self.rows[inv.call.trigger];
         let (alone, run) = (expected(&inv.call, f, row), f.run.mean());
         let ((n, size), fleet_slow) = (self.fleet(), self.fleet_slow());
-        // Most of the fleet ill at once says more about the network or ourselves than about each of them.
-        let all_ill = 2 * f.order.iter().filter(|w| !self.invokers[w].well(now)).count() > n;
         let mut best: Vec<(u64, InvokerId, bool, bool, f64)> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
         let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
@@ -704,8 +677,7 @@
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let refuses = v.refused.get(&(inv.call.tenant, inv.call.trigger)).is_some_and(|r| now < r.1);
             let barred = cooling || refuses || inv.tried.contains(w) || !self.may_send(inv, *w);
-            if barred || !(v.well(now) || all_ill) || self.cold_room(v, size, row.run.mean()) < row.run.mean()
-            {
+            if barred || !v.well(now) || self.cold_room(v, size, row.run.mean()) < row.run.mean() {
                 continue;
             }
             if best.len() >= f.members && below_target {
@@ -723,7 +695,7 @@
             let chance = if tries && some_warm {
                 0.0
             } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) {
-                f.cold
+                self.cold
             } else {
                 1.0
             };
@@ -920,7 +892,7 @@
         }
         for (w, v) in &mut self.invokers {
             let since = v.heard.max(first.get(w).copied().unwrap_or(Tenths::MAX));
-            let phi = self.now.saturating_sub(since) as f64 / v.gap.max(self.gap) / std::f64::consts::LN_10;
+            let phi = self.now.saturating_sub(since) as f64 / self.gap / std::f64::consts::LN_10;
             if self.now >= v.luck.1 + self.d.tip_window {
                 v.luck = (self.rng.f64(), self.now);
             }
