--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,8 +44,6 @@
 const RUNS_SEEN: f64 = 20.0;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 3.0;
-/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
-const TARGET: f64 = 4.0;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
@@ -134,7 +132,8 @@
 struct Inv {
     call: Invocation,
     arrived: Tenths,
-    out: Vec<Dispatch>,
+    /// One at a time, also where two are allowed: a second one cost more than it won.
+    out: Option<Dispatch>,
     hops: u8,
     /// The first dispatch that may have run: when it was sent, and where.
     may_have_run: Option<(Tenths, InvokerId)>,
@@ -275,7 +274,7 @@
 
 impl Inv {
     fn late(&self, w: InvokerId, now: Tenths) -> bool {
-        !self.done && self.out.iter().any(|d| d.invoker == w && d.due < now)
+        !self.done && self.out.as_ref().is_some_and(|d| d.invoker == w && d.due < now)
     }
 }
 
@@ -351,7 +350,7 @@
         if stood > STALL {
             self.awake = now;
             self.invokers.values_mut().for_each(|v| v.heard = (v.heard + stood).min(now));
-            self.invs.values_mut().flat_map(|inv| &mut inv.out).for_each(|d| d.due += stood);
+            self.invs.values_mut().filter_map(|inv| inv.out.as_mut()).for_each(|d| d.due += stood);
         }
         self.now = now;
     }
@@ -375,8 +374,8 @@
         (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
-        let (id, out, tried) = (call.id, Vec::new(), Vec::new());
-        let new = Inv { call, arrived: now, out, hops: 0, may_have_run: None, tried, done: false };
+        let (id, tried) = (call.id, Vec::new());
+        let new = Inv { call, arrived: now, out: None, hops: 0, may_have_run: None, tried, done: false };
         self.invs.insert(id, new);
         self.send(id, acts);
     }
@@ -385,7 +384,7 @@
         self.turn(now);
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.done = true;
-        if inv.out.is_empty() {
+        if inv.out.is_none() {
             self.invs.remove(&id);
         }
     }
@@ -393,8 +392,8 @@
     /// Rule 2: whether sending it to `to` at `at`, or without `to` throttling it, can do no harm.
     fn harmless(&self, inv: &Inv, to: Option<InvokerId>, at: Tenths) -> bool {
         let row = &self.rows[inv.call.trigger].stated;
-        let out = inv.out.iter().map(|d| (d.sent, d.invoker)).min();
-        let Some((sent, first)) = inv.may_have_run.into_iter().chain(out).min() else { return true };
+        let out = inv.out.as_ref().map(|d| (d.sent, d.invoker));
+        let Some((sent, first)) = inv.may_have_run.or(out) else { return true };
         let (a, b) = (&self.invokers[&first].listed, to.map(|w| &self.invokers[&w].listed));
         let same = match row.scope {
             Scope::All => true,
@@ -410,13 +409,13 @@
 
     fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
         inv.hops < self.d.dispatch_limit
-            && (inv.out.is_empty() || self.d.parallel_dispatches)
+            && inv.out.is_none()
             && self.harmless(inv, Some(w), self.now + self.d.tick)
     }
 
     /// The final answer, at once: the client may try again.
     fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_empty()) else { return };
+        let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_none()) else { return };
         if self.harmless(inv, None, self.now) {
             let wait = self.rows[inv.call.trigger].stated.objective / COME_BACK;
             acts.throttle(id, self.d.come_back_max.map_or(0, |most| wait.min(most)));
@@ -465,11 +464,11 @@
         p.loading = p.loading.or(loads.then_some(sent));
         let next: Next = Box::new(move |c, acts| match c.invs.get(&id) {
             Some(inv) if inv.done => c.left(c.now, id),
-            Some(inv) if inv.out.is_empty() => c.send(id, acts),
-            _ => {}
+            Some(_) => c.send(id, acts),
+            None => {}
         });
         let moved = false;
-        inv.out.push(Dispatch { hop, invoker, sent, due, warm, moved, uncrowded, run, usual, next });
+        inv.out = Some(Dispatch { hop, invoker, sent, due, warm, moved, uncrowded, run, usual, next });
         inv.hops += 1;
         acts.dispatch(id, invoker, 0);
     }
@@ -477,11 +476,9 @@
     pub fn answered(&mut self, now: Tenths, a: Answer, acts: &mut dyn Acts) {
         self.turn(now);
         let Some(inv) = self.invs.get_mut(&a.inv) else { return };
-        let Some(i) = inv.out.iter().position(|d| d.hop == a.hop) else { return };
-        let d = inv.out.remove(i);
+        let Some(d) = inv.out.take_if(|d| d.hop == a.hop) else { return };
         if !a.outcome.never_ran() {
-            let this = (d.sent, d.invoker);
-            inv.may_have_run = Some(inv.may_have_run.map_or(this, |first| first.min(this)));
+            inv.may_have_run = inv.may_have_run.or(Some((d.sent, d.invoker)));
         }
         if a.outcome != Outcome::Succeeded && a.outcome != Outcome::Miss {
             inv.tried.push(d.invoker);
@@ -702,11 +699,10 @@
             let slow = v.slow(now, fleet_slow) / self.risen(v);
             let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
             let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
-            let usual = slow * run + queue;
             let finish = chance * load + slow * alone + queue + busy;
             let due = load + slow * alone + queue;
-            shortest = shortest.min(usual);
-            below_target |= out < f.lanes && usual + busy < TARGET * run;
+            shortest = shortest.min(slow * run + queue);
+            below_target |= out < f.lanes;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited, due));
         }
@@ -882,12 +878,11 @@
         let jammed = self.fleet_slow() > JAMMED;
         let mut late = Vec::new();
         for (id, inv) in self.invs.iter().filter(|(_, inv)| !inv.done) {
-            for d in &inv.out {
-                let since = first.entry(d.invoker).or_insert(Tenths::MAX);
-                *since = d.due.min(*since);
-                if !jammed && !d.moved && self.now > d.due.saturating_add(too_late) {
-                    late.push((*id, d.invoker));
-                }
+            let Some(d) = &inv.out else { continue };
+            let since = first.entry(d.invoker).or_insert(Tenths::MAX);
+            *since = d.due.min(*since);
+            if !jammed && !d.moved && self.now > d.due.saturating_add(too_late) {
+                late.push(*id);
             }
         }
         for (w, v) in &mut self.invokers {
@@ -898,32 +893,21 @@
             }
             if phi > PHI {
                 v.shut(self.now);
-                late.extend(
-                    self.invs.iter().filter(|(_, inv)| inv.late(*w, self.now)).map(|(id, _)| (*id, *w)),
-                );
+                late.extend(self.invs.iter().filter(|(_, inv)| inv.late(*w, self.now)).map(|(id, _)| *id));
             }
         }
-        late.sort_unstable();
-        late.dedup();
-        late.into_iter().for_each(|(id, w)| self.move_off(id, w, acts));
+        late.into_iter().for_each(|id| self.move_off(id, acts));
     }
 
-    /// A second dispatch where two may be out, else a cancel, whose outcome sends it on.
-    fn move_off(&mut self, id: InvId, w: InvokerId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id).filter(|inv| inv.hops < self.d.dispatch_limit) else { return };
-        if self.d.parallel_dispatches {
-            if inv.out.len() < 2
-                && let Choice::Go(other, warm, due) = self.pick(id)
-                && other != w
-            {
-                self.dispatch(id, other, warm, due, acts);
-            }
-        } else if self.d.may_cancel && self.harmless(inv, None, self.now + SECOND) {
-            let Some(inv) = self.invs.get_mut(&id) else { return };
-            for d in inv.out.iter_mut().filter(|d| d.invoker == w && !d.moved) {
-                (d.moved, d.due) = (true, d.due.min(self.now));
-                acts.cancel(id, d.hop);
-            }
+    /// A cancel, whose outcome sends it on, if there is a try left and a repeat does no harm.
+    fn move_off(&mut self, id: InvId, acts: &mut dyn Acts) {
+        let repeats = self.d.may_cancel
+            && self.invs[&id].hops < self.d.dispatch_limit
+            && self.harmless(&self.invs[&id], None, self.now + SECOND);
+        let d = self.invs.get_mut(&id).and_then(|inv| inv.out.as_mut());
+        if let Some(d) = d.filter(|d| repeats && !d.moved) {
+            d.moved = true;
+            acts.cancel(id, d.hop);
         }
     }
 }
