--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -131,7 +131,7 @@
                     _ => return Err(format!("unknown list form {form}")),
                 }
             }
-            // No peers and no streams at the deployments served; both are read past.
+            // No peers, streams or probes are in use; all three are read past.
             5 => {
                 f.u32("src_peer")?;
                 let n = f.u16("length of octets")?;
@@ -148,10 +148,10 @@
             }
             8 => {
                 f.time("time_taken_ms")?;
-                let invoker = f.u32("invoker")?;
-                let ok = outcome(f.u8("result")?)? == Outcome::Succeeded;
+                f.u32("invoker")?;
+                outcome(f.u8("result")?)?;
                 f.values()?;
-                self.guard(id, |_| c.probed(now, invoker, ok))
+                Some(())
             }
             9 => {
                 let inv = read_invocation(f, *trigger_types)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
 //! All decisions of a controller, every table and every tuned value. The interface is in `port.rs`.
 //!
 //! How to call it: `Controller::new` at start, then one call for each thing told: `listed` (the invokers),
-//! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `probed`, `woken`. Each takes
+//! `invoked`, `left`, `answered` (a dispatch ended), `held` (an order ended), `woken`. Each takes
 //! the time and an `Acts` through which the controller acts before it returns. Same calls, same actions.
 //! The ordinary path is `plan` (pools, each second), `order`, `pick`; `docs/design.md` tells what is added.
 
@@ -44,6 +44,8 @@
 const RUNS_SEEN: f64 = 20.0;
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 3.0;
+/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
+const TARGET: f64 = 4.0;
 /// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
@@ -59,10 +61,9 @@
 /// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
 const FULL_SLOW: f64 = 3.0;
 const SLOW_FADES: f64 = 5.0;
-/// Median over mean of run times, roughly.
-const MEDIAN: f64 = 0.75;
-/// A fleet on which runs take this much longer than alone, on the mean, is jammed.
+/// A fleet is jammed on which the median run takes this much longer than alone; a median is this part of a mean.
 const JAMMED: f64 = 1.5;
+const MEDIAN: f64 = 0.75;
 /// The least billed work waits this much less.
 const PATIENCE_LEAST: f64 = 0.5;
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
@@ -114,7 +115,6 @@
 }
 
 struct Dispatch {
-    hop: u8,
     invoker: InvokerId,
     sent: Tenths,
     /// When an answer is expected, had all gone as the pick foresaw.
@@ -123,9 +123,7 @@
     /// A cancel is out for it.
     moved: bool,
     uncrowded: bool,
-    /// Run time expected of this invocation, and of its function's on the whole.
     run: f64,
-    usual: f64,
     next: Next,
 }
 
@@ -145,7 +143,6 @@
 struct Invoker {
     listed: Listed,
     out: u32,
-    out_work: f64,
     heard: Tenths,
     /// Time that answers took over the time expected of them, and when that was last learned.
     slow: (f64, Tenths),
@@ -154,10 +151,10 @@
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
-    /// Tenants and trigger types that it refused for room since it last served them: how often in a row, and
-    /// until when they go elsewhere. Those of one only say nothing of its health for the others.
     /// This window's draw for what is under one invocation of a cold one's room.
     luck: (f64, Tenths),
+    /// Tenants and trigger types it refused for room since it last served them: how often, and until when
+    /// they go elsewhere. One alone says nothing of its health for the others.
     refused: BTreeMap<(usize, usize), (u32, Tenths)>,
     /// What was sent to it in the tipping window: when, and how much work.
     sent: VecDeque<(Tenths, f64)>,
@@ -201,9 +198,8 @@
 enum Choice {
     /// Where to, whether a copy is believed to stand, and when an answer is due.
     Go(InvokerId, bool, Tenths),
-    Await(InvokerId),
-    /// It was told lately that no copy is there, and a dispatch would bring none.
-    Order(InvokerId),
+    /// No copy is there, and a dispatch would bring none: it waits for an order.
+    Hold(InvokerId),
     Nobody,
 }
 
@@ -433,10 +429,9 @@
         }
         match self.pick(id) {
             Choice::Go(w, warm, due) => self.dispatch(id, w, warm, due, acts),
-            Choice::Await(w) => self.await_hold(id, w, acts),
-            Choice::Order(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
+            Choice::Hold(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
             // The ration or the pending cap is used up: it frees up with time, tries don't.
-            Choice::Order(_) => {
+            Choice::Hold(_) => {
                 let at = (self.now + ASK_AGAIN).min(expires - LAST_CALL);
                 self.later(at, acts, move |c, acts| c.send(id, acts))
             }
@@ -450,12 +445,11 @@
         self.make_room(invoker, fid, loads, acts);
         let (Some(inv), Some(f)) = (self.invs.get_mut(&id), self.functions.get_mut(&fid)) else { return };
         let (Some(v), row) = (self.invokers.get_mut(&invoker), &self.rows[inv.call.trigger]) else { return };
-        let (run, usual, sent, hop) = (expected(&inv.call, f, row), f.run.mean(), self.now, inv.hops);
+        let (run, sent) = (expected(&inv.call, f, row), self.now);
         v.heard = if v.out == 0 { sent } else { v.heard };
         let uncrowded = f64::from(v.out) < CORES;
         self.out += 1;
         v.out += 1;
-        v.out_work += usual;
         v.sent.push_back((sent, row.run.mean()));
         while v.sent.pop_front_if(|(at, _)| *at + self.d.tip_window <= sent).is_some() {}
         let p = f.places.entry(invoker).or_default();
@@ -468,7 +462,7 @@
             None => {}
         });
         let moved = false;
-        inv.out = Some(Dispatch { hop, invoker, sent, due, warm, moved, uncrowded, run, usual, next });
+        inv.out = Some(Dispatch { invoker, sent, due, warm, moved, uncrowded, run, next });
         inv.hops += 1;
         acts.dispatch(id, invoker, 0);
     }
@@ -476,7 +470,7 @@
     pub fn answered(&mut self, now: Tenths, a: Answer, acts: &mut dyn Acts) {
         self.turn(now);
         let Some(inv) = self.invs.get_mut(&a.inv) else { return };
-        let Some(d) = inv.out.take_if(|d| d.hop == a.hop) else { return };
+        let Some(d) = inv.out.take() else { return };
         if !a.outcome.never_ran() {
             inv.may_have_run = inv.may_have_run.or(Some((d.sent, d.invoker)));
         }
@@ -506,7 +500,6 @@
         let slow = v.slow(now, fleet);
         self.out -= 1;
         v.out -= 1;
-        v.out_work = (v.out_work - d.usual).max(0.0);
         p.out -= 1;
         if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
             let late = now.saturating_sub(v.heard.max(d.due)) as f64;
@@ -698,11 +691,12 @@
             };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
             let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
-            let queue = slow * run * out / f.lanes + v.out_work * size / (n as f64 * CORES * v.listed.size);
+            let queue = slow * run * out / f.lanes
+                + f64::from(v.out) * run * size / (n as f64 * CORES * v.listed.size);
             let finish = chance * load + slow * alone + queue + busy;
             let due = load + slow * alone + queue;
             shortest = shortest.min(slow * run + queue);
-            below_target |= out < f.lanes;
+            below_target |= out < f.lanes && slow * run + queue < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
             best.push((finish as u64 / MILLI, *w, warm, awaited, due));
         }
@@ -720,11 +714,10 @@
         best.retain(|b| b.0 == least);
         let (_, invoker, warm, awaited, due) = best[self.rng.usize(..best.len())];
         let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
-        match (awaited, self.d.misses && !warm && lacks) {
-            (true, _) => Choice::Await(invoker),
-            (_, true) => Choice::Order(invoker),
-            _ => Choice::Go(invoker, warm, now + due as Tenths),
+        if awaited || (self.d.misses && !warm && lacks) {
+            return Choice::Hold(invoker);
         }
+        Choice::Go(invoker, warm, now + due as Tenths)
     }
 
     /// Pools: sizes from demand, then members' holds within the budgets, every second.
@@ -789,6 +782,7 @@
         for w in members {
             let f = &self.functions[&fid];
             let due = f.places.get(&w).is_none_or(|p| match f.warm(w, now, keep) {
+                _ if p.ordered => false,
                 true => p.out == 0 && now >= p.touched + (keep as f64 * RENEW_AT) as Tenths,
                 false => p.loading.is_none(),
             });
@@ -798,8 +792,11 @@
         }
     }
 
-    /// One hold order, if the pending cap and this part of the ration allow it.
+    /// One hold order, or one that is out already, if the pending cap and this part of the ration allow it.
     fn order_load(&mut self, w: InvokerId, fid: FnId, ration: f64, acts: &mut dyn Acts) -> bool {
+        if self.functions.get(&fid).and_then(|f| f.places.get(&w)).is_some_and(|p| p.ordered) {
+            return true;
+        }
         let (now, window) = (self.now, self.d.order_window);
         let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(1);
         if !self.d.may_order
@@ -817,7 +814,7 @@
         let Some(f) = self.functions.get_mut(&fid) else { return false };
         let warm = f.warm(w, now, self.d.keep_alive);
         let p = f.places.entry(w).or_default();
-        if p.ordered || now < p.cooldown {
+        if now < p.cooldown {
             return false;
         }
         (p.ordered, p.placed) = (true, true);
@@ -864,11 +861,6 @@
         waiting.into_iter().for_each(|then| then(self, acts));
     }
 
-    /// Nothing is asked of probes: they pass at invokers that answer nothing, and hundreds would ask.
-    pub fn probed(&mut self, now: Tenths, _: InvokerId, _: bool) {
-        self.turn(now);
-    }
-
     /// Looks for unusual silence of an invoker, and for dispatches that are out unusually long though it is
     /// heard: their answers may be lost. Both wait elsewhere, where a repeat does no harm.
     fn look(&mut self, acts: &mut dyn Acts) {
@@ -904,10 +896,10 @@
         let repeats = self.d.may_cancel
             && self.invs[&id].hops < self.d.dispatch_limit
             && self.harmless(&self.invs[&id], None, self.now + SECOND);
-        let d = self.invs.get_mut(&id).and_then(|inv| inv.out.as_mut());
-        if let Some(d) = d.filter(|d| repeats && !d.moved) {
+        let Some(inv) = self.invs.get_mut(&id).filter(|_| repeats) else { return };
+        if let Some(d) = inv.out.as_mut().filter(|d| !d.moved) {
             d.moved = true;
-            acts.cancel(id, d.hop);
+            acts.cancel(id, inv.hops - 1);
         }
     }
 }
