--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,8 +11,7 @@
 /// The allocator runs this often, and a surplus member or a stale instance stays at least a dwell.
 const PLAN_EVERY: Tenths = SECOND;
 const DWELL: Tenths = 10 * SECOND;
-/// A function not called for this long loses its floor of one member.
-const FORGET: Tenths = 25 * SECOND;
+const FORGET: Tenths = 25 * SECOND; // A function not called for this long loses its floor of one member
 /// Pools are sized so that lanes are this full on average: calls come in bursts, and a full lane queues.
 const FILL: f64 = 0.2;
 /// Share of the fleet's memory that pools may claim; the rest is for work and for what others loaded.
@@ -28,20 +27,16 @@
 const UNKNOWN: f64 = 10.0;
 /// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
 const RENEW_AT: f64 = 0.6;
-/// Planned orders leave the rest of the order ration to misses.
-const PLANNED_RATION: f64 = 0.4;
-/// A failed load is not repeated at the same place for this long.
-const LOAD_COOLDOWN: Tenths = 3 * SECOND;
+const PLANNED_RATION: f64 = 0.4; // Planned orders leave the rest of the order ration to misses
+const LOAD_COOLDOWN: Tenths = 3 * SECOND; // A failed load is not repeated at the same place for this long
 /// So long does a place count as lacking what it missed; who cannot order it there asks again this often.
 const LACKS: Tenths = 4 * SECOND;
 const ASK_AGAIN: Tenths = 50 * MILLI;
 /// Load time where none was told or seen, and run time before the first answer.
 const LOAD_GUESS: f64 = SECOND as f64;
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
-/// Least step, as a share, by which a timed value follows what is seen.
-const LEARN: f64 = 0.05;
-/// So many run times of a trigger type are learned however crowded the invoker is.
-const RUNS_SEEN: f64 = 20.0;
+const LEARN: f64 = 0.05; // Least step, as a share, by which a timed value follows what is seen
+const RUNS_SEEN: f64 = 20.0; // So many run times of a trigger type are learned however crowded the invoker is
 /// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
 const CORES: f64 = 3.0;
 /// A member is past its target load when all lanes are taken, or when a run would take this much longer.
@@ -61,19 +56,17 @@
 /// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
 const FULL_SLOW: f64 = 3.0;
 const SLOW_FADES: f64 = 5.0;
-/// A fleet is jammed on which the median run takes this much longer than alone; a median is this part of a mean.
+/// A fleet is jammed whose median run takes this much longer than alone; a median is this part of a mean.
 const JAMMED: f64 = 1.5;
 const MEDIAN: f64 = 0.75;
-/// The least billed work waits this much less.
-const PATIENCE_LEAST: f64 = 0.5;
+const PATIENCE_LEAST: f64 = 0.5; // The least billed work waits this much less
 /// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
 const COLD_MARGIN: f64 = 0.6;
 /// A throttled client may come back after this part of the objective: a retry may still be in time.
 const COME_BACK: Tenths = 8;
 const LAST_CALL: Tenths = 10 * MILLI; // lead of a final answer on the client timeout
 
-/// Spreads function ids over all bits before an invoker's id is mixed in.
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15; // spreads function ids before an invoker's is mixed in
 
 /// What to do when a step of an invocation, an order or a timer has ended.
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
@@ -117,11 +110,9 @@
 struct Dispatch {
     invoker: InvokerId,
     sent: Tenths,
-    /// When an answer is expected, had all gone as the pick foresaw.
-    due: Tenths,
+    due: Tenths, // When an answer is expected, had all gone as the pick foresaw
     warm: bool,
-    /// A cancel is out for it.
-    moved: bool,
+    moved: bool, // A cancel is out for it
     uncrowded: bool,
     run: f64,
     next: Next,
@@ -130,8 +121,7 @@
 struct Inv {
     call: Invocation,
     arrived: Tenths,
-    /// One at a time, also where two are allowed: a second one cost more than it won.
-    out: Option<Dispatch>,
+    out: Option<Dispatch>, // One at a time, also where two are allowed: a second one cost more than it won
     hops: u8,
     /// The first dispatch that may have run: when it was sent, and where.
     may_have_run: Option<(Tenths, InvokerId)>,
@@ -146,18 +136,15 @@
     heard: Tenths,
     /// Time that answers took over the time expected of them, and when that was last learned.
     slow: (f64, Tenths),
-    /// How far its cores were over the share reported as busy, and when.
-    busy: (f64, Tenths),
+    busy: (f64, Tenths), // How far its cores were over the share reported as busy, and when
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
-    /// This window's draw for what is under one invocation of a cold one's room.
-    luck: (f64, Tenths),
+    luck: (f64, Tenths), // This window's draw for what is under one invocation of a cold one's room
     /// Tenants and trigger types it refused for room since it last served them: how often, and until when
     /// they go elsewhere. One alone says nothing of its health for the others.
     refused: BTreeMap<(usize, usize), (u32, Tenths)>,
-    /// What was sent to it in the tipping window: when, and how much work.
-    sent: VecDeque<(Tenths, f64)>,
+    sent: VecDeque<(Tenths, f64)>, // What was sent to it in the tipping window: when, and how much work
 }
 
 #[derive(Default)]
@@ -172,23 +159,20 @@
     cooldown: Tenths,
     lacks_until: Tenths,
     out: u32,
-    /// Invocations of the function that an answer found there, and when.
-    crowd: (f64, Tenths),
+    crowd: (f64, Tenths), // Invocations of the function that an answer found there, and when
 }
 
 #[derive(Default)]
 struct Function {
     trigger: usize,
-    /// Calls seen, fading in each of the spans.
-    calls: [f64; 3],
+    calls: [f64; 3], // Calls seen, fading in each of the spans
     called: Tenths,
     run: Timed,
     lanes: f64,
     memory: f64,
     load_told: Option<f64>,
     load_seen: f64,
-    /// Members wanted, and since when fewer would do.
-    members: usize,
+    members: usize, // Members wanted, and since when fewer would do
     surplus_since: Option<Tenths>,
     order: Vec<InvokerId>,
     order_version: u64,
@@ -223,17 +207,13 @@
     /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
     moves: f64,
     cold: f64,
-    /// How far over the busy share cores are on the mean: where all are, none is to be shunned.
-    busy: f64,
-    /// Dispatches out, and how slow the fleet is: time of answers over time expected.
-    out: u32,
+    busy: f64, // How far over the busy share cores are on the mean: where all are, none is to be shunned
+    out: u32,  // Dispatches out, and how slow the fleet is: time of answers over time expected
     slow: (f64, Tenths),
     /// How long past due the next answer of an invoker comes, on the mean of all: few hear often of each.
     gap: f64,
-    /// How late answers are that come after they were due.
-    late: Timed,
-    /// Work that ended well a tenth, smoothed, and when that was last right.
-    work_rate: (f64, Tenths),
+    late: Timed,              // How late answers are that come after they were due
+    work_rate: (f64, Tenths), // Work that ended well a tenth, smoothed, and when that was last right
 }
 
 fn decay(dt: Tenths, span_s: f64) -> f64 {
@@ -299,15 +279,14 @@
 
 impl Controller {
     pub fn new(now: Tenths, d: Deployment, seed: u64, acts: &mut dyn Acts) -> Self {
-        let row =
-            |t: &TriggerType| Row { stated: t.clone(), run: Timed::new(RUN_GUESS), pace: Timed::new(1.0) };
+        let (run, pace) = (Timed::new(RUN_GUESS), Timed::new(1.0));
+        let row = |t: &TriggerType| Row { stated: t.clone(), run: run.clone(), pace: pace.clone() };
         let mut c = Self {
             now,
             born: now,
             rng: fastrand::Rng::with_seed(seed),
             rows: d.trigger_types.iter().map(row).collect(),
             d,
-            work_rate: (0.0, now),
             cold: 1.0,
             slow: (1.0, now),
             gap: RUN_GUESS,
@@ -404,9 +383,8 @@
     }
 
     fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
-        inv.hops < self.d.dispatch_limit
-            && inv.out.is_none()
-            && self.harmless(inv, Some(w), self.now + self.d.tick)
+        let left = inv.hops < self.d.dispatch_limit && inv.out.is_none();
+        left && self.harmless(inv, Some(w), self.now + self.d.tick)
     }
 
     /// The final answer, at once: the client may try again.
@@ -433,7 +411,7 @@
             // The ration or the pending cap is used up: it frees up with time, tries don't.
             Choice::Hold(_) => {
                 let at = (self.now + ASK_AGAIN).min(expires - LAST_CALL);
-                self.later(at, acts, move |c, acts| c.send(id, acts))
+                self.later(at, acts, Box::new(move |c, acts| c.send(id, acts)))
             }
             Choice::Nobody => self.settle(id, acts),
         }
@@ -474,9 +452,7 @@
         if !a.outcome.never_ran() {
             inv.may_have_run = inv.may_have_run.or(Some((d.sent, d.invoker)));
         }
-        if a.outcome != Outcome::Succeeded && a.outcome != Outcome::Miss {
-            inv.tried.push(d.invoker);
-        }
+        inv.tried.extend((a.outcome != Outcome::Miss).then_some(d.invoker));
         inv.done |= a.finished;
         let call = inv.call.clone();
         self.learn(&call, &d, &a);
@@ -485,18 +461,16 @@
 
     /// What an answer says of the invoker's health, of the function there, and of run times.
     fn learn(&mut self, call: &Invocation, d: &Dispatch, a: &Answer) {
-        let (fid, trigger, hint, key) =
-            (call.function, call.trigger, call.work_hint, (call.tenant, call.trigger));
-        let (now, took, w) = (self.now, a.took as f64, d.invoker);
-        let (Some(f), Some(v)) = (self.functions.get_mut(&fid), self.invokers.get_mut(&w)) else { return };
+        let (now, took, w, key) = (self.now, a.took as f64, d.invoker, (call.tenant, call.trigger));
+        let (fleet, f) = (self.fleet_slow(), self.functions.get_mut(&call.function));
+        let (Some(f), Some(v)) = (f, self.invokers.get_mut(&w)) else { return };
         if !d.warm && matches!(a.outcome, Outcome::Succeeded | Outcome::Miss) {
             let stood = a.found.map_or(took < d.run + 0.5 * f.load(), |found| found == Found::Warm);
             let cold = f64::from(!stood || a.outcome == Outcome::Miss);
             self.cold += 0.05 * (cold - self.cold);
         }
-        let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[trigger]);
+        let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[call.trigger]);
         let (ratio, stalled) = ((took / d.run.max(1.0)).min(10.0), self.awake > d.sent);
-        let fleet = 1.0 + (self.slow.0 - 1.0) * decay(now - self.slow.1, SLOW_FADES);
         let slow = v.slow(now, fleet);
         self.out -= 1;
         v.out -= 1;
@@ -514,11 +488,7 @@
             v.busy = (((u - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0), now);
             self.busy += 0.05 * (v.busy.0 - self.busy);
         }
-        v.errors += match a.outcome {
-            Outcome::Succeeded => -0.2 * v.errors,
-            Outcome::Errored => 0.2 * (1.0 - v.errors),
-            _ => 0.0,
-        };
+        v.errors += 0.2 * (f64::from(a.outcome == Outcome::Errored) - v.errors);
         match a.outcome {
             Outcome::Succeeded => {
                 (v.shut_until, v.shut_for) = (0, 0);
@@ -533,7 +503,7 @@
                     if d.uncrowded || row.run.seen < RUNS_SEEN {
                         f.run.learn(took);
                         row.run.learn(took);
-                        row.pace.learn(took / hint.unwrap_or(1).max(1) as f64);
+                        row.pace.learn(took / call.work_hint.unwrap_or(1).max(1) as f64);
                     }
                 } else if a.found == Some(Found::BeganLoad) {
                     f.load_seen = f.load_seen.max(took - d.run);
@@ -565,41 +535,32 @@
         let (hops, expires) = (inv.hops, inv.call.expires);
         let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.hops == hops);
         let Some(f) = self.functions.get_mut(&inv.call.function) else { return };
-        f.places.entry(w).or_default().waiting.push(Box::new(move |c, acts| {
-            if still(c) {
-                c.send(id, acts);
-            }
-        }));
-        self.later(expires - LAST_CALL, acts, move |c, acts| {
-            if still(c) {
-                c.settle(id, acts);
-            }
-        });
+        let then = |go: fn(&mut Self, InvId, &mut dyn Acts)| -> Next {
+            Box::new(move |c, acts| {
+                if still(c) {
+                    go(c, id, acts)
+                }
+            })
+        };
+        f.places.entry(w).or_default().waiting.push(then(Self::send));
+        self.later(expires - LAST_CALL, acts, then(Self::settle));
     }
 
-    fn later(
-        &mut self,
-        at: Tenths,
-        acts: &mut dyn Acts,
-        then: impl FnOnce(&mut Self, &mut dyn Acts) + 'static,
-    ) {
+    fn later(&mut self, at: Tenths, acts: &mut dyn Acts, then: Next) {
         self.token += 1;
-        self.timers.insert(self.token, Box::new(then));
+        self.timers.insert(self.token, then);
         acts.wake(at, self.token);
     }
 
     pub fn woken(&mut self, now: Tenths, token: u64, acts: &mut dyn Acts) {
         self.turn(now);
-        if let Some(then) = self.timers.remove(&token) {
-            then(self, acts);
-        }
+        self.timers.remove(&token).into_iter().for_each(|then| then(self, acts));
     }
 
     /// The rendezvous order of a function: a hash of both, weighted by size, the same at every controller.
     fn order(&mut self, fid: FnId) {
-        let Some(f) = self.functions.get_mut(&fid).filter(|f| f.order_version != self.list_version) else {
-            return;
-        };
+        let stale = |f: &&mut Function| f.order_version != self.list_version;
+        let Some(f) = self.functions.get_mut(&fid).filter(stale) else { return };
         let score = |(w, v): (&InvokerId, &Invoker)| {
             let unit = fastrand::Rng::with_seed(fid.wrapping_mul(SPREAD) ^ u64::from(*w)).f64();
             (-unit.max(1e-18).ln() / v.listed.size.max(0.01), *w)
@@ -675,26 +636,20 @@
             }
             let crowd = p.map_or(0.0, |p| p.crowd.0 * decay(now - p.crowd.1, CROWD_FADES));
             let out = p.map_or(0.0, |p| f64::from(p.out)).max(crowd);
+            // Where a miss costs a moment and a try, an unknown place is as good as any while tries are left.
+            let tries = some_warm && inv.hops == 0 && p.is_none_or(|p| now >= p.lacks_until);
             let load = match p.and_then(|p| p.loading) {
-                _ if warm => 0.0,
+                _ if warm || (tries && self.d.misses) => 0.0,
                 Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
                 None => f.load(),
             };
-            // Where a miss costs a moment and a try, an unknown place is as good as any while tries are left.
-            let tries = self.d.misses && inv.hops == 0 && p.is_none_or(|p| now >= p.lacks_until);
-            let chance = if tries && some_warm {
-                0.0
-            } else if i < f.members && p.is_none_or(|p| p.loading.is_none()) {
-                self.cold
-            } else {
-                1.0
-            };
+            let unknown = i < f.members && p.is_none_or(|p| p.loading.is_none());
+            let chance = if unknown { self.cold } else { 1.0 };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
             let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
-            let queue = slow * run * out / f.lanes
-                + f64::from(v.out) * run * size / (n as f64 * CORES * v.listed.size);
-            let finish = chance * load + slow * alone + queue + busy;
-            let due = load + slow * alone + queue;
+            let cores = n as f64 * CORES * v.listed.size / size;
+            let queue = slow * run * out / f.lanes + f64::from(v.out) * run / cores;
+            let (finish, due) = (chance * load + slow * alone + queue + busy, load + slow * alone + queue);
             shortest = shortest.min(slow * run + queue);
             below_target |= out < f.lanes && slow * run + queue < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
@@ -714,15 +669,13 @@
         best.retain(|b| b.0 == least);
         let (_, invoker, warm, awaited, due) = best[self.rng.usize(..best.len())];
         let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
-        if awaited || (self.d.misses && !warm && lacks) {
-            return Choice::Hold(invoker);
-        }
-        Choice::Go(invoker, warm, now + due as Tenths)
+        let hold = awaited || (self.d.misses && !warm && lacks);
+        if hold { Choice::Hold(invoker) } else { Choice::Go(invoker, warm, now + due as Tenths) }
     }
 
     /// Pools: sizes from demand, then members' holds within the budgets, every second.
     fn plan(&mut self, acts: &mut dyn Acts) {
-        self.later(self.now + PLAN_EVERY, acts, |c, acts| c.plan(acts));
+        self.later(self.now + PLAN_EVERY, acts, Box::new(Self::plan));
         let (now, keep) = (self.now, self.d.keep_alive);
         for f in self.functions.values_mut() {
             // Copies that we placed may stand longer than we may believe: they stay in mind for unloading.
@@ -769,11 +722,8 @@
 
     /// Orders holds for members without a warm belief, and renews those about to lapse.
     fn fill_pool(&mut self, fid: FnId, acts: &mut dyn Acts) {
-        let (now, keep, size) = (self.now, self.d.keep_alive, self.fleet().1);
-        let f = &self.functions[&fid];
-        let able = |w: &&InvokerId| {
-            self.invokers[*w].well(now) && self.cold_room(&self.invokers[*w], size, 0.0) >= 0.0
-        };
+        let (now, keep, f) = (self.now, self.d.keep_alive, &self.functions[&fid]);
+        let able = |w: &&InvokerId| self.invokers[*w].well(now);
         let members: Vec<InvokerId> = f.order.iter().filter(able).take(f.members).copied().collect();
         let Some(f) = self.functions.get_mut(&fid) else { return };
         for (w, p) in &mut f.places {
@@ -798,11 +748,9 @@
             return true;
         }
         let (now, window) = (self.now, self.d.order_window);
-        let cap = (2 * self.fleet().0 / self.d.controllers as usize).max(1);
-        if !self.d.may_order
-            || (ration < 1.0 && self.orders_out >= cap)
-            || !self.invokers.get(&w).is_some_and(Invoker::ready)
-        {
+        let pending = self.orders_out >= (2 * self.fleet().0 / self.d.controllers as usize).max(1);
+        let ready = self.d.may_order && self.invokers.get(&w).is_some_and(Invoker::ready);
+        if !ready || (pending && ration < 1.0) {
             return false;
         }
         while self.orders.pop_front_if(|at| *at + window + MILLI <= now).is_some() {}
@@ -864,7 +812,7 @@
     /// Looks for unusual silence of an invoker, and for dispatches that are out unusually long though it is
     /// heard: their answers may be lost. Both wait elsewhere, where a repeat does no harm.
     fn look(&mut self, acts: &mut dyn Acts) {
-        self.later(self.now + LOOK_EVERY, acts, |c, acts| c.look(acts));
+        self.later(self.now + LOOK_EVERY, acts, Box::new(Self::look));
         let mut first: BTreeMap<InvokerId, Tenths> = BTreeMap::new();
         let too_late = (self.late.mean().max(GAP_FLOOR) * PHI * std::f64::consts::LN_10) as Tenths;
         let jammed = self.fleet_slow() > JAMMED;
@@ -893,9 +841,9 @@
 
     /// A cancel, whose outcome sends it on, if there is a try left and a repeat does no harm.
     fn move_off(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let repeats = self.d.may_cancel
-            && self.invs[&id].hops < self.d.dispatch_limit
-            && self.harmless(&self.invs[&id], None, self.now + SECOND);
+        let inv = &self.invs[&id];
+        let left = self.d.may_cancel && inv.hops < self.d.dispatch_limit;
+        let repeats = left && self.harmless(inv, None, self.now + SECOND);
         let Some(inv) = self.invs.get_mut(&id).filter(|_| repeats) else { return };
         if let Some(d) = inv.out.as_mut().filter(|d| !d.moved) {
             d.moved = true;
