--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,58 +12,40 @@
 const PLAN_EVERY: Tenths = SECOND;
 const DWELL: Tenths = 10 * SECOND;
 const FORGET: Tenths = 25 * SECOND; // A function not called for this long loses its floor of one member
-/// Pools are sized so that lanes are this full on average: calls come in bursts, and a full lane queues.
-const FILL: f64 = 0.2;
-/// Share of the fleet's memory that pools may claim; the rest is for work and for what others loaded.
-const POOL_MEMORY: f64 = 0.6;
-/// Reports of busy cores and of other controllers' invocations fade in so many seconds; from this share of
-/// cores on an invoker is busy, and fully busy cores cost so many runs.
+const FILL: f64 = 0.2; // a pool's lanes are this full on the mean: calls come in bursts
+const POOL_MEMORY: f64 = 0.6; // of the fleet's memory; the rest is for work and what others loaded
+/// News of others' load fades in so many seconds; from BUSY on cores are busy, all busy costs so many runs.
 const CROWD_FADES: f64 = 5.0;
 const BUSY: f64 = 0.8;
 const BUSY_RUNS: f64 = 4.0;
-/// Call rates are smoothed over these seconds: the short ones see a hot function, the long one is steady. A
-/// controller that has just started counts its first calls over the last of these figures.
+/// Call rates are smoothed over these seconds; a fresh controller counts its calls over so many more.
 const SPANS: [f64; 3] = [2.0, 8.0, 30.0];
 const UNKNOWN: f64 = 10.0;
-/// A standing instance is renewed once this share of its keep-alive has passed without an invocation.
-const RENEW_AT: f64 = 0.6;
+const RENEW_AT: f64 = 0.6; // a standing instance is renewed at this share of its keep-alive without a call
 const PLANNED_RATION: f64 = 0.4; // Planned orders leave the rest of the order ration to misses
 const LOAD_COOLDOWN: Tenths = 3 * SECOND; // A failed load is not repeated at the same place for this long
-/// So long does a place count as lacking what it missed; who cannot order it there asks again this often.
-const LACKS: Tenths = 4 * SECOND;
-const ASK_AGAIN: Tenths = 50 * MILLI;
-/// Load time where none was told or seen, and run time before the first answer.
-const LOAD_GUESS: f64 = SECOND as f64;
+const LACKS: Tenths = 4 * SECOND; // so long does a place count as lacking what it missed
+const LOAD_GUESS: f64 = SECOND as f64; // where none was told or seen; run time before the first answer
 const RUN_GUESS: f64 = 150.0 * MILLI as f64;
 const LEARN: f64 = 0.05; // Least step, as a share, by which a timed value follows what is seen
 const RUNS_SEEN: f64 = 20.0; // So many run times of a trigger type are learned however crowded the invoker is
-/// Concurrent runs that an invoker of mean size does without slowing; nobody tells its cores.
-const CORES: f64 = 3.0;
-/// A member is past its target load when all lanes are taken, or when a run would take this much longer.
-const TARGET: f64 = 4.0;
-/// Silent invokers are looked for this often; phi is the log of how unlikely the silence is.
+const CORES: f64 = 3.0; // runs at once that a mean invoker does without slowing; nobody tells its cores
+const TARGET: f64 = 4.0; // past it too is a member on which a run takes so much longer
+/// Silence is looked for this often; phi is the log of how unlikely it is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
 const PHI: f64 = 3.0;
-/// A controller that had no turn for so long, though it looks every now and then, has stood still itself.
-const STALL: Tenths = 4 * LOOK_EVERY;
+const STALL: Tenths = 4 * LOOK_EVERY; // a controller without a turn for so long has stood still itself
 const GAP_FLOOR: f64 = 30.0 * MILLI as f64;
-/// An ill invoker is shut for a time that doubles while it stays ill; one that refuses for room, shortly.
-const SHUT_FIRST: Tenths = 500 * MILLI;
+const SHUT_FIRST: Tenths = 500 * MILLI; // an ill invoker is shut for a time that doubles while it stays ill
 const SHUT_MOST: Tenths = 4 * SECOND;
-const SHUT_FULL: Tenths = 500 * MILLI;
-/// Share of recent dispatches that ended in errors from which an invoker counts as ill.
-const ERRORS_ILL: f64 = 0.4;
-/// An invoker that refuses for room is at least this slow; slowness fades in so many seconds.
-const FULL_SLOW: f64 = 3.0;
+const ERRORS_ILL: f64 = 0.4; // share of recent dispatches that ended in errors
+const FULL_SLOW: f64 = 3.0; // an invoker that refuses for room to more than one is at least so slow
 const SLOW_FADES: f64 = 5.0;
-/// A fleet is jammed whose median run takes this much longer than alone; a median is this part of a mean.
-const JAMMED: f64 = 1.5;
-const MEDIAN: f64 = 0.75;
+const JAMMED: f64 = 1.5; // a fleet is jammed whose median run takes this much longer than alone
+const MEDIAN: f64 = 0.75; // of run times, over their mean
 const PATIENCE_LEAST: f64 = 0.5; // The least billed work waits this much less
-/// Our share of what a cold invoker may be sent is kept this far under the stated multiple.
-const COLD_MARGIN: f64 = 0.6;
-/// A throttled client may come back after this part of the objective: a retry may still be in time.
-const COME_BACK: Tenths = 8;
+const COLD_MARGIN: f64 = 0.6; // how far our part of what a cold invoker may get is kept under the multiple
+const COME_BACK: Tenths = 8; // a throttled client may come back after this part of the objective
 const LAST_CALL: Tenths = 10 * MILLI; // lead of a final answer on the client timeout
 
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15; // spreads function ids before an invoker's is mixed in
@@ -71,8 +53,7 @@
 /// What to do when a step of an invocation, an order or a timer has ended.
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>;
 
-/// The mean of what is timed, told from its faster half alone: a jam stretches the slower half first, and
-/// none of many controllers sees by its own count that an invoker is crowded.
+/// A mean told from the faster half alone: a jam, which one of many does not see, stretches the slower.
 #[derive(Clone, Default)]
 struct Timed {
     low: f64,
@@ -85,7 +66,6 @@
         Self { low: 0.5 * guess, mid: 0.8 * guess, seen: 0.0 }
     }
 
-    /// Follows the 3rd and the 5th decile.
     fn learn(&mut self, x: f64) {
         self.seen += 1.0;
         let step = (2.0 / (self.seen + 1.0)).max(LEARN);
@@ -93,7 +73,7 @@
         self.mid *= (step * (0.5 - f64::from(x < self.mid))).exp();
     }
 
-    /// Of the log-normal law with these deciles.
+    /// Of the log-normal law with these two, the 3rd and the 5th decile.
     fn mean(&self) -> f64 {
         let sigma = ((self.mid / self.low).ln() / 0.524).clamp(0.2, 1.0);
         self.mid * (0.5 * sigma * sigma).exp()
@@ -123,8 +103,7 @@
     arrived: Tenths,
     out: Option<Dispatch>, // One at a time, also where two are allowed: a second one cost more than it won
     hops: u8,
-    /// The first dispatch that may have run: when it was sent, and where.
-    may_have_run: Option<(Tenths, InvokerId)>,
+    may_have_run: Option<(Tenths, InvokerId)>, // the first such dispatch: when and where
     tried: Vec<InvokerId>,
     done: bool,
 }
@@ -134,15 +113,13 @@
     listed: Listed,
     out: u32,
     heard: Tenths,
-    /// Time that answers took over the time expected of them, and when that was last learned.
-    slow: (f64, Tenths),
+    slow: (f64, Tenths), // time taken over time expected, and when learned
     busy: (f64, Tenths), // How far its cores were over the share reported as busy, and when
     errors: f64,
     shut_until: Tenths,
     shut_for: Tenths,
     luck: (f64, Tenths), // This window's draw for what is under one invocation of a cold one's room
-    /// Tenants and trigger types it refused for room since it last served them: how often, and until when
-    /// they go elsewhere. One alone says nothing of its health for the others.
+    /// Tenants and types refused for room since last served: how often, until when. One tells no illness.
     refused: BTreeMap<(usize, usize), (u32, Tenths)>,
     sent: VecDeque<(Tenths, f64)>, // What was sent to it in the tipping window: when, and how much work
 }
@@ -180,10 +157,8 @@
 }
 
 enum Choice {
-    /// Where to, whether a copy is believed to stand, and when an answer is due.
-    Go(InvokerId, bool, Tenths),
-    /// No copy is there, and a dispatch would bring none: it waits for an order.
-    Hold(InvokerId),
+    Go(InvokerId, bool, Tenths), // where to, whether a copy is believed to stand, when an answer is due
+    Hold(InvokerId),             // no copy is there, and a dispatch would bring none: it waits for an order
     Nobody,
 }
 
@@ -210,9 +185,8 @@
     busy: f64, // How far over the busy share cores are on the mean: where all are, none is to be shunned
     out: u32,  // Dispatches out, and how slow the fleet is: time of answers over time expected
     slow: (f64, Tenths),
-    /// How long past due the next answer of an invoker comes, on the mean of all: few hear often of each.
-    gap: f64,
-    late: Timed,              // How late answers are that come after they were due
+    gap: f64,    // how long past due answers come, over all invokers: few hear often of each
+    late: Timed, // How late answers are that come after they were due
     work_rate: (f64, Tenths), // Work that ended well a tenth, smoothed, and when that was last right
 }
 
@@ -220,7 +194,7 @@
     (-(dt as f64) / (span_s * SECOND as f64)).exp()
 }
 
-/// The median, followed from above and below in equal steps: hot spots move it little, an overload does.
+/// The median, followed in equal steps: hot spots move it little, an overload does.
 fn follow(median: f64, above: bool) -> f64 {
     median * if above { 1.0 + LEARN } else { 1.0 - LEARN }
 }
@@ -248,17 +222,7 @@
     }
 }
 
-impl Inv {
-    fn late(&self, w: InvokerId, now: Tenths) -> bool {
-        !self.done && self.out.as_ref().is_some_and(|d| d.invoker == w && d.due < now)
-    }
-}
-
 impl Invoker {
-    fn ready(&self) -> bool {
-        self.listed.life == Life::Ready
-    }
-
     /// Fades to the fleet's: with many controllers one hears of an invoker too seldom to know it jammed.
     fn slow(&self, now: Tenths, fleet: f64) -> f64 {
         fleet + (self.slow.0 - fleet) * decay(now.saturating_sub(self.slow.1), SLOW_FADES)
@@ -318,8 +282,7 @@
         }
     }
 
-    /// A turn that comes later than the next look was due: we stood still, nobody else did. Silence, lateness
-    /// and time taken stand still with us; what came meanwhile is read before anyone is judged.
+    /// A turn far later than the next look was due: we stood still, and silence and lateness with us.
     fn turn(&mut self, now: Tenths) {
         let stood = now.saturating_sub(self.now);
         if stood > STALL {
@@ -330,7 +293,6 @@
         self.now = now;
     }
 
-    /// A process that died or started anew holds nothing.
     fn forget_copies(&mut self, w: InvokerId) {
         for p in self.functions.values_mut().filter_map(|f| f.places.get_mut(&w)) {
             (p.warm, p.loading, p.placed) = (false, None, false);
@@ -382,11 +344,6 @@
         }
     }
 
-    fn may_send(&self, inv: &Inv, w: InvokerId) -> bool {
-        let left = inv.hops < self.d.dispatch_limit && inv.out.is_none();
-        left && self.harmless(inv, Some(w), self.now + self.d.tick)
-    }
-
     /// The final answer, at once: the client may try again.
     fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_none()) else { return };
@@ -410,7 +367,7 @@
             Choice::Hold(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
             // The ration or the pending cap is used up: it frees up with time, tries don't.
             Choice::Hold(_) => {
-                let at = (self.now + ASK_AGAIN).min(expires - LAST_CALL);
+                let at = (self.now + LOOK_EVERY).min(expires - LAST_CALL);
                 self.later(at, acts, Box::new(move |c, acts| c.send(id, acts)))
             }
             Choice::Nobody => self.settle(id, acts),
@@ -519,8 +476,7 @@
             }
             Outcome::Full => {
                 let (streak, until) = v.refused.entry(key).or_default();
-                *until = now + (SHUT_FULL << (*streak).min(5)).min(SHUT_MOST);
-                *streak += 1;
+                (*until, *streak) = (now + (SHUT_FIRST << (*streak).min(5)).min(SHUT_MOST), *streak + 1);
                 if v.refused.len() > 1 || self.rows.len().max(self.d.tenants.len()) < 2 {
                     v.slow = (slow.max(FULL_SLOW), now);
                     self.slow = (follow(fleet, true), now);
@@ -565,7 +521,8 @@
             let unit = fastrand::Rng::with_seed(fid.wrapping_mul(SPREAD) ^ u64::from(*w)).f64();
             (-unit.max(1e-18).ln() / v.listed.size.max(0.01), *w)
         };
-        let mut scored: Vec<_> = self.invokers.iter().filter(|(_, v)| v.ready()).map(score).collect();
+        let mut scored: Vec<_> =
+            self.invokers.iter().filter(|(_, v)| v.listed.life == Life::Ready).map(score).collect();
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         f.order = scored.into_iter().map(|(_, w)| w).collect();
         f.order_version = self.list_version;
@@ -573,7 +530,7 @@
 
     /// How many are ready, and their size.
     fn fleet(&self) -> (usize, f64) {
-        let ready = || self.invokers.values().filter(|v| v.ready());
+        let ready = || self.invokers.values().filter(|v| v.listed.life == Life::Ready);
         (ready().count(), ready().map(|v| v.listed.size.max(0.01)).sum())
     }
 
@@ -588,9 +545,8 @@
         (self.d.cold_share + (1.0 - self.d.cold_share) * age).min(1.0)
     }
 
-    /// Rule 4: work that may be sent now. What we got done, by size, stands for our part of the capacity:
-    /// all controllers together never get done more than the fleet can do.
-    /// Where that is under one invocation, a draw a window gives one as often as the part says.
+    /// Rule 4: what may be sent now: our part is what we got done, as all controllers never do more than the
+    /// fleet. Where that is under one invocation, a draw a window gives one as often.
     fn cold_room(&self, v: &Invoker, fleet_size: f64, run: f64) -> f64 {
         let risen = self.risen(v);
         if risen >= 1.0 {
@@ -602,8 +558,7 @@
         COLD_MARGIN * self.d.tip_factor * risen * part * window as f64 + v.luck.0 * run - sent
     }
 
-    /// How long a wait at the best invoker is still worth it: less for what earns little, so that in an
-    /// overload the least billed value is turned away first and what is taken is answered in time.
+    /// How long a wait is still worth it: in an overload the least billed value is turned away first.
     fn patience(&self, inv: &Inv) -> f64 {
         let row = &self.rows[inv.call.trigger].stated;
         let most = self.rows.iter().map(|r| r.stated.billed_value).fold(1e-9, f64::max);
@@ -621,13 +576,18 @@
         let ((n, size), fleet_slow) = (self.fleet(), self.fleet_slow());
         let mut best: Vec<(u64, InvokerId, bool, bool, f64)> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
+        let left = inv.hops < self.d.dispatch_limit && inv.out.is_none();
         let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
         for (i, w) in f.order.iter().enumerate() {
             let (v, p) = (&self.invokers[w], f.places.get(w));
             let warm = f.warm(*w, now, self.d.keep_alive);
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let refuses = v.refused.get(&(inv.call.tenant, inv.call.trigger)).is_some_and(|r| now < r.1);
-            let barred = cooling || refuses || inv.tried.contains(w) || !self.may_send(inv, *w);
+            let barred = cooling
+                || refuses
+                || inv.tried.contains(w)
+                || !left
+                || !self.harmless(inv, Some(*w), now + self.d.tick);
             if barred || !v.well(now) || self.cold_room(v, size, row.run.mean()) < row.run.mean() {
                 continue;
             }
@@ -686,7 +646,7 @@
         self.functions.retain(|_, f| now < f.called + FORGET + longest || !f.places.is_empty());
         while self.taken.pop_front_if(|at| *at + self.d.order_window.max(SECOND) <= now).is_some() {}
         let memory = |v: &Invoker| self.d.kind_memory.get(usize::from(v.listed.kind)).copied().unwrap_or(0.0);
-        let total: f64 = self.invokers.values().filter(|v| v.ready()).map(memory).sum();
+        let total: f64 = self.invokers.values().filter(|v| v.listed.life == Life::Ready).map(memory).sum();
         let mut room = if total > 0.0 { total * POOL_MEMORY } else { f64::INFINITY };
         let ready = self.fleet().0.max(1);
         // Floors first, then by what the calls are worth.
@@ -749,7 +709,7 @@
         }
         let (now, window) = (self.now, self.d.order_window);
         let pending = self.orders_out >= (2 * self.fleet().0 / self.d.controllers as usize).max(1);
-        let ready = self.d.may_order && self.invokers.get(&w).is_some_and(Invoker::ready);
+        let ready = self.d.may_order && self.invokers.get(&w).is_some_and(|v| v.listed.life == Life::Ready);
         if !ready || (pending && ration < 1.0) {
             return false;
         }
@@ -809,22 +769,15 @@
         waiting.into_iter().for_each(|then| then(self, acts));
     }
 
-    /// Looks for unusual silence of an invoker, and for dispatches that are out unusually long though it is
-    /// heard: their answers may be lost. Both wait elsewhere, where a repeat does no harm.
+    /// Unusual silence of an invoker, or of one dispatch whose invoker is heard: its answer may be lost.
     fn look(&mut self, acts: &mut dyn Acts) {
         self.later(self.now + LOOK_EVERY, acts, Box::new(Self::look));
         let mut first: BTreeMap<InvokerId, Tenths> = BTreeMap::new();
-        let too_late = (self.late.mean().max(GAP_FLOOR) * PHI * std::f64::consts::LN_10) as Tenths;
-        let jammed = self.fleet_slow() > JAMMED;
-        let mut late = Vec::new();
-        for (id, inv) in self.invs.iter().filter(|(_, inv)| !inv.done) {
-            let Some(d) = &inv.out else { continue };
-            let since = first.entry(d.invoker).or_insert(Tenths::MAX);
-            *since = d.due.min(*since);
-            if !jammed && !d.moved && self.now > d.due.saturating_add(too_late) {
-                late.push(*id);
-            }
+        let owed = |inv: &Inv| inv.out.as_ref().filter(|_| !inv.done).map(|d| (d.invoker, d.due));
+        for (w, due) in self.invs.values().filter_map(owed) {
+            first.entry(w).and_modify(|first| *first = due.min(*first)).or_insert(due);
         }
+        let mut silent = Vec::new();
         for (w, v) in &mut self.invokers {
             let since = v.heard.max(first.get(w).copied().unwrap_or(Tenths::MAX));
             let phi = self.now.saturating_sub(since) as f64 / self.gap / std::f64::consts::LN_10;
@@ -833,9 +786,16 @@
             }
             if phi > PHI {
                 v.shut(self.now);
-                late.extend(self.invs.iter().filter(|(_, inv)| inv.late(*w, self.now)).map(|(id, _)| *id));
+                silent.push(*w);
             }
         }
+        // In a jam lateness is no sign of loss, and a repeat would feed it.
+        let usual = if self.fleet_slow() > JAMMED { f64::INFINITY } else { self.late.mean().max(GAP_FLOOR) };
+        let lost = self.now.saturating_sub((usual * PHI * std::f64::consts::LN_10) as Tenths);
+        let late = |(_, inv): &(&InvId, &Inv)| {
+            owed(inv).is_some_and(|(w, due)| due < lost || (due < self.now && silent.contains(&w)))
+        };
+        let late: Vec<InvId> = self.invs.iter().filter(late).map(|(id, _)| *id).collect();
         late.into_iter().for_each(|id| self.move_off(id, acts));
     }
 
