Time-outs count above the fleet's median: answers that come hid an overload

Cause: slowness was told by answers alone; in an overload those that time out are not among them, so nothing was turned away. Covers also deaths of many invokers and hot spots. May harm where clients' timeouts are shorter than a run.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -78,11 +78,10 @@
     }
 }
 
-/// One row a trigger type: what is stated, run times, and run times over the hint of work.
 struct Row {
     stated: TriggerType,
     run: Timed,
-    pace: Timed,
+    pace: Timed, // run time over the hint of work
 }
 
 struct Dispatch {
@@ -198,7 +197,6 @@
     median * if above { 1.0 + LEARN } else { 1.0 - LEARN }
 }
 
-/// Run time of one invocation alone: by its hint, where it has one, else as its function's are.
 fn expected(call: &Invocation, f: &Function, row: &Row) -> f64 {
     call.work_hint.map_or(f.run.mean(), |h| h as f64 * row.pace.mean())
 }
@@ -470,6 +468,8 @@
             Outcome::Errored if v.errors > ERRORS_ILL => v.shut(now),
             Outcome::Miss => (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS),
             Outcome::NoConnection => v.shut(now),
+            // Left out, an overload would be told by the answers that still come.
+            Outcome::TimedOut => self.slow = (follow(fleet, true), now),
             Outcome::Reset => {
                 v.shut(now);
                 self.forget_copies(w);
@@ -538,7 +538,7 @@
         1.0 + (self.slow.0 - 1.0) * decay(self.now - self.slow.1, SLOW_FADES)
     }
 
-    /// What part of its full capacity an invoker has at least, by the stated slowest rise.
+    /// Part of its full capacity that it has at least, by the stated slowest rise.
     fn risen(&self, v: &Invoker) -> f64 {
         let Some(started) = v.listed.started else { return 1.0 };
         let age = self.now.saturating_sub(started) as f64 / self.d.cold_time.max(1) as f64;
