Time-outs take the fleet for no slower than five times: refusals had outlived a jam

Cause: while much is refused, late time-outs outnumber answers and drove the fleet's slowness up without bound.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,7 @@
 const ERRORS_ILL: f64 = 0.4; // share of recent dispatches that ended in errors
 const FULL_SLOW: f64 = 3.0; // an invoker that refuses for room to more than one is at least so slow
 const SLOW_FADES: f64 = 5.0;
+const SLOW_MOST: f64 = 5.0; // time-outs come late: beyond this they take a fleet for no slower
 const JAMMED: f64 = 1.5; // a fleet is jammed whose median run takes this much longer than alone
 const MEDIAN: f64 = 0.75; // of run times, over their mean
 const PATIENCE_LEAST: f64 = 0.5; // The least billed work waits this much less
@@ -194,7 +195,7 @@
 
 /// The median, followed in equal steps: hot spots move it little, an overload does.
 fn follow(median: f64, above: bool) -> f64 {
-    median * if above { 1.0 + LEARN } else { 1.0 - LEARN }
+    (median * if above { 1.0 + LEARN } else { 1.0 - LEARN }).max(1.0)
 }
 
 fn expected(call: &Invocation, f: &Function, row: &Row) -> f64 {
@@ -453,7 +454,7 @@
                 self.work_rate = (faded + row.run.mean() / (SPANS[1] * SECOND as f64), now);
                 if a.found.map_or(d.warm, |found| found == Found::Warm) {
                     v.slow = (slow + 0.1 * (ratio - slow), now);
-                    self.slow = (follow(fleet, ratio > MEDIAN * fleet).max(1.0), now);
+                    self.slow = (follow(fleet, ratio > MEDIAN * fleet), now);
                     // Learned in a jam, run times would take it for normal: unseen, and pools would grow.
                     if d.uncrowded || row.run.seen < RUNS_SEEN {
                         f.run.learn(took);
@@ -469,7 +470,7 @@
             Outcome::Miss => (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS),
             Outcome::NoConnection => v.shut(now),
             // Left out, an overload would be told by the answers that still come.
-            Outcome::TimedOut => self.slow = (follow(fleet, true), now),
+            Outcome::TimedOut => self.slow = (follow(fleet, true).min(SLOW_MOST), now),
             Outcome::Reset => {
                 v.shut(now);
                 self.forget_copies(w);
@@ -528,7 +529,6 @@
         f.order_version = self.list_version;
     }
 
-    /// How many are ready, and their size.
     fn fleet(&self) -> (usize, f64) {
         let ready = || self.invokers.values().filter(|v| v.listed.life == Life::Ready);
         (ready().count(), ready().map(|v| v.listed.size.max(0.01)).sum())
