--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,17 @@
+//! The controller as a service: sockets round the decision module.
+//!
+//! Each thing that happens on a socket is one call on `saltdrum::Controller`; each of its acts writes to a socket or
+//! sets a timer. Start reading at `front`: an invocation's way is `Desk::invoke` → the module → `Acts for Desk` →
+//! `State::ended` → `Desk::answer`. `clients`, `links` and `list` are the three kinds of socket, `redial` decides when
+//! a lost link is tried again. Nothing here chooses an invoker, repeats, holds back or turns away.
+//!
+//! One thread, one `LocalSet`, no locks. Streams, clock and seed are handed in.
+
+mod clients;
+mod front;
+mod links;
+mod list;
+mod redial;
+
+pub use front::{Front, Seat, serve};
+pub use redial::{Dials, Redial};
--- /dev/null
+++ b/crates/controller/src/list.rs
@@ -0,0 +1,137 @@
+//! Follows the invoker list. What the list last said stands while it is away.
+
+use crate::front::{Front, State, reach};
+use crate::links::{Link, cut_off};
+use crate::redial::Redial;
+use bytes::BytesMut;
+use saltdrum::port::*;
+use saltdrum_protocol::frame::{cut, encode};
+use saltdrum_protocol::list as wire;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tracing::{info, warn};
+
+pub(crate) async fn follow(front: Rc<Front>) {
+    let (mut redial, mut rng) = (Redial::default(), fastrand::Rng::with_seed(front.seat.seed ^ 0x1157));
+    loop {
+        let why = followed(&front, &mut redial).await;
+        redial.lost(front.clock.now());
+        warn!(address = %front.seat.list, why, "invoker list lost; what it said stands");
+        tokio::time::sleep(Duration::from_micros(redial.wait(&mut rng) * 100)).await;
+    }
+}
+
+async fn followed(front: &Rc<Front>, redial: &mut Redial) -> String {
+    let mut stream = match front.network.dial(&front.seat.list).await {
+        Ok(stream) => stream,
+        Err(e) => return e.to_string(),
+    };
+    let (controller, incarnation) = (front.seat.controller, front.seat.incarnation);
+    if let Err(e) = stream.write_all(&encode(&wire::Follow { version: 1, controller, incarnation })).await {
+        return e.to_string();
+    }
+    redial.up(front.clock.now());
+    let (mut read, mut revision) = (BytesMut::new(), None);
+    loop {
+        let message = match cut(&mut read) {
+            Err(e) => return e.to_string(),
+            Ok(Some((kind, body))) => wire::FromList::read(kind, &body),
+            Ok(None) => match stream.read_buf(&mut read).await {
+                Ok(0) => return "hung up".into(),
+                Ok(_) => continue,
+                Err(e) => return e.to_string(),
+            },
+        };
+        let (whole, settled, entries) = match (message, revision) {
+            (Ok(wire::FromList::Whole(w)), None) => {
+                revision = Some(w.revision);
+                (true, w.settled, w.entries)
+            }
+            (Ok(wire::FromList::Change(c)), Some(last)) if c.revision == last + 1 => {
+                revision = Some(c.revision);
+                (false, true, c.entries)
+            }
+            (Ok(wire::FromList::Whole(_)), Some(_)) => return "the whole list a second time".into(),
+            (Ok(wire::FromList::Change(c)), last) => {
+                return format!("revision {} after {last:?}: the next was expected", c.revision);
+            }
+            (Err(e), _) => return e.to_string(),
+        };
+        if whole {
+            info!(revision, settled, entries = entries.len(), "invoker list");
+        }
+        let new = front.tell(|state| {
+            state.desk.list_revision = revision;
+            told(state, whole && settled, entries)
+        });
+        new.into_iter().for_each(|invoker| reach(front, invoker));
+    }
+}
+
+/// What the list says reaches the links first, so that nothing the module then does meets an old one. Gives invokers
+/// that were not known.
+fn told(state: &mut State, whole: bool, entries: Vec<wire::Entry>) -> Vec<InvokerId> {
+    let (now, grace) = (state.desk.now, state.desk.terms.deployment.drain_grace);
+    let (mut new, mut all, mut cut) = (Vec::new(), Vec::new(), Vec::new());
+    if whole {
+        for link in state.desk.links.values_mut() {
+            if !entries.iter().any(|e| e.invoker == link.entry.invoker) {
+                link.entry.life = wire::Life::Gone;
+                cut.push(link.entry.invoker);
+            }
+        }
+    }
+    for mut entry in entries {
+        let started = now.checked_sub(entry.age_tenths);
+        let id = entry.invoker;
+        let link = state.desk.links.entry(id).or_insert_with(|| {
+            new.push(id);
+            Link::new(entry.clone(), started)
+        });
+        if link.entry.incarnation != entry.incarnation && link.started > started {
+            // The invoker itself has told us of a later start than the list knows of.
+            entry.incarnation = link.entry.incarnation;
+        }
+        if link.entry.incarnation != entry.incarnation || link.entry.address != entry.address {
+            link.started = started;
+            link.redial.renewed();
+            link.changed.notify_one();
+        } else if link.entry.life == wire::Life::Gone && entry.life != wire::Life::Gone {
+            link.changed.notify_one();
+        }
+        if entry.life == wire::Life::Ready {
+            link.cut_at(Tenths::MAX);
+        } else {
+            cut.push(id);
+        }
+        link.entry = entry;
+        all.push(listed(&link.entry, link.started));
+    }
+    state.module.listed(now, whole, &all);
+    for invoker in cut {
+        // Half the grace is for the way and for what has begun to leave.
+        let at = now + grace / 2;
+        if let Some(link) = state.desk.links.get_mut(&invoker) {
+            link.cut_at(at);
+        }
+        state.desk.later(at, Box::new(move |state| cut_off(state, invoker)));
+    }
+    new
+}
+
+pub(crate) fn listed(entry: &wire::Entry, started: Option<Tenths>) -> Listed {
+    Listed {
+        invoker: entry.invoker,
+        zone: entry.zone,
+        kind: entry.kind,
+        cell: entry.cell,
+        life: match entry.life {
+            wire::Life::Ready => Life::Ready,
+            wire::Life::Draining => Life::Draining,
+            wire::Life::Gone => Life::Gone,
+        },
+        size: f64::from(entry.size),
+        started,
+    }
+}
--- /dev/null
+++ b/crates/controller/src/redial.rs
@@ -0,0 +1,137 @@
+//! When a lost link is tried again. No I/O, no clock: times come in, waits go out.
+//!
+//! A fleet that restarts is dialled by every controller at once, and none knows of the others. So every wait is drawn
+//! between nothing and a bound that doubles (full jitter), a link that broke soon after it came up counts as failed,
+//! and one controller starts only so many dials a second, whatever the number of invokers.
+
+use saltdrum::port::{MILLI, SECOND, Tenths};
+
+/// The first dial of an invoker newly listed: spread a little, as all controllers hear of it at once.
+const FIRST_MOST: Tenths = 20 * MILLI;
+const BASE: Tenths = 100 * MILLI;
+const MOST: Tenths = 5 * SECOND;
+/// A link that stood so long was well.
+const WELL_AFTER: Tenths = 3 * SECOND;
+const DIALS_BURST: f64 = 128.0;
+const DIALS_PER_SECOND: f64 = 64.0;
+
+/// One link's history of failures.
+#[derive(Clone, Debug, Default)]
+pub struct Redial {
+    failures: u32,
+    up_since: Option<Tenths>,
+}
+
+impl Redial {
+    /// How long to wait before the next dial.
+    pub fn wait(&self, rng: &mut fastrand::Rng) -> Tenths {
+        let most = match self.failures {
+            0 => FIRST_MOST,
+            n => MOST.min(BASE << (n - 1).min(16)),
+        };
+        rng.u64(0..=most)
+    }
+
+    /// Whether the last try, or the link it made, failed.
+    pub fn failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    pub fn up(&mut self, now: Tenths) {
+        self.up_since = Some(now);
+    }
+
+    /// The dial failed, or the link it made is gone.
+    pub fn lost(&mut self, now: Tenths) {
+        let well = self.up_since.take().is_some_and(|since| now >= since + WELL_AFTER);
+        self.failures = if well { 1 } else { self.failures.saturating_add(1) };
+    }
+
+    /// The invoker is said to have started anew: what failed before says nothing.
+    pub fn renewed(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// A controller's dials, over all its links.
+#[derive(Clone, Debug)]
+pub struct Dials {
+    left: f64,
+    at: Tenths,
+}
+
+impl Dials {
+    pub fn new(now: Tenths) -> Self {
+        Self { left: DIALS_BURST, at: now }
+    }
+
+    /// Takes one dial; gives how long to wait with it.
+    pub fn take(&mut self, now: Tenths) -> Tenths {
+        let grown = now.saturating_sub(self.at) as f64 * DIALS_PER_SECOND / SECOND as f64;
+        self.left = (self.left + grown).min(DIALS_BURST) - 1.0;
+        self.at = self.at.max(now);
+        (-self.left / DIALS_PER_SECOND * SECOND as f64).max(0.0) as Tenths
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// 48 controllers lose the same 84 invokers at one moment; nobody answers for 10 s.
+    #[test]
+    fn a_fleet_restart_is_no_storm() {
+        let mut dialled = vec![0u32; 100];
+        for controller in 0..48u64 {
+            let mut rng = fastrand::Rng::with_seed(controller);
+            let mut dials = Dials::new(0);
+            let mut due: Vec<(Tenths, Redial)> = vec![(0, Redial::default()); 84];
+            for (at, link) in &mut due {
+                link.lost(0);
+                *at = link.wait(&mut rng);
+            }
+            loop {
+                due.sort_by_key(|d| d.0);
+                let at = due[0].0;
+                if at >= 10 * SECOND {
+                    break;
+                }
+                let held = dials.take(at);
+                due[0].1.lost(at + held);
+                let wait = due[0].1.wait(&mut rng);
+                if let Some(n) = dialled.get_mut(((at + held) / (100 * MILLI)) as usize) {
+                    *n += 1;
+                }
+                due[0].0 = at + held + wait;
+            }
+        }
+        let (first, late) = (dialled[0], dialled[50..].iter().max().copied().unwrap_or(0));
+        assert!(first <= 48 * 84 * 2, "{first} dials in the first 100 ms");
+        assert!(late * 8 < 48 * 84, "{late} dials in a later 100 ms: controllers fell into step");
+        assert!(dialled[50..].iter().all(|n| *n > 0), "it is still tried: {dialled:?}");
+    }
+
+    #[test]
+    fn a_link_that_breaks_at_once_counts_as_failed_and_a_long_one_does_not() {
+        let mut link = Redial::default();
+        for n in 1..6 {
+            link.up(n);
+            link.lost(n + 10);
+            assert_eq!(link.failures, n as u32);
+        }
+        link.up(100);
+        link.lost(100 + WELL_AFTER);
+        assert_eq!(link.failures, 1);
+        link.renewed();
+        assert!(!link.failing() && link.wait(&mut fastrand::Rng::with_seed(1)) <= FIRST_MOST);
+    }
+
+    #[test]
+    fn dials_beyond_the_burst_wait_their_turn() {
+        let mut dials = Dials::new(0);
+        let waits: Vec<Tenths> = (0..200).map(|_| dials.take(0)).collect();
+        assert!(waits[..128].iter().all(|w| *w == 0));
+        assert!(waits[128..].windows(2).all(|w| w[0] < w[1]));
+        assert_eq!(dials.take(60 * SECOND), 0);
+    }
+}
--- /dev/null
+++ b/crates/deployment/tests/scripts.rs
@@ -0,0 +1,80 @@
+//! Scripts as they should not be, and what is said of them.
+
+use proptest::prelude::*;
+use saltdrum_deployment::{Terms, units};
+
+const GOOD: &str = r#"
+deployment(controllers = 3, keep_alive = "9s", cold_share = 0.2, cold_time = "16s",
+    tip_factor = 2.5, tip_window = "1.5s", come_back_most = "500ms")
+machine("big", memory = "42GB", cores = 5)
+invokers(kind = "big", count = 4, cell_size = 3)
+trigger_type("narrate", objective = "1.2s", client_timeout = "5s")
+tenant("hill", quota_per_s = 40)
+[function("voice-%d" % n, trigger = "narrate", memory = "3200MB", lanes = 4, load_time = "1500ms") for n in range(3)]
+trouble("crash", at = "3s")
+"#;
+
+#[test]
+fn a_deployment_is_read_with_its_units_and_the_rest_is_handed_back() {
+    let (terms, rest) = Terms::load("day.star", GOOD).unwrap();
+    assert_eq!(terms.deployment.tip_window, 15_000);
+    assert_eq!(terms.kinds[0].memory.0, 42_000.0);
+    assert_eq!(terms.invokers.iter().map(|i| i.cell).collect::<Vec<_>>(), [0, 0, 0, 1]);
+    assert_eq!(terms.functions.len(), 3);
+    assert_eq!((rest.len(), rest[0].what, rest[0].place.line), (1, "trouble", 9));
+}
+
+#[test]
+fn faults_name_file_line_and_what_was_expected() {
+    let fault = |from: &str, to: &str| {
+        assert!(GOOD.contains(from), "{from}");
+        Terms::load("day.star", &GOOD.replace(from, to)).unwrap_err().to_string()
+    };
+    for (from, to, say) in [
+        ("\"9s\"", "9", "day.star:2: deployment: keep_alive = 9: a unit is missing, as in \"250ms\""),
+        ("\"9s\"", "\"-9s\"", "day.star:2: deployment: keep_alive = '-9s': cannot be negative"),
+        (
+            "\"9s\"",
+            "\"9 parsecs\"",
+            "day.star:2: deployment: keep_alive = '9 parsecs': unknown unit ' parsecs'",
+        ),
+        ("keep_alive", "keep_alife", "day.star:2: deployment: unknown field `keep_alife`"),
+        ("kind = \"big\"", "kind = \"bug\"", "day.star:5: invokers: no machine is named 'bug'"),
+        ("tenant(", "tennant(", "day.star:7: Variable `tennant` not found"),
+        (
+            "objective = \"1.2s\",",
+            "effect = \"sometimes\", objective = \"1s\",",
+            "day.star:6: trigger_type: effect",
+        ),
+        ("cold_share = 0.2", "cold_share = 2", "day.star:2: deployment: cold_share = 2: 0 to 1 is expected"),
+        ("range(3)]", "range(3)", "day.star:"),
+    ] {
+        let got = fault(from, to);
+        assert!(got.starts_with(say), "{got}\n  instead of\n{say}");
+    }
+    assert_eq!(Terms::load("d", "").unwrap_err().to_string(), "d:1: no deployment(...) is stated");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_script_with_a_hole_is_read_or_refused(at in 0usize..500, len in 1usize..30) {
+        let at = at % GOOD.len();
+        let text = format!("{}{}", &GOOD[..at], &GOOD[(at + len).min(GOOD.len())..]);
+        if let Err(fault) = Terms::load("day.star", &text) {
+            prop_assert!(fault.place.line >= 1 && !fault.why.is_empty());
+        }
+    }
+
+    #[test]
+    fn spans_are_never_rounded_up(ms in 0u64..1_000_000) {
+        let text = format!("{}.{:03}s", ms / 1_000, ms % 1_000);
+        prop_assert_eq!(units::span(&text).unwrap().0, ms * 10);
+    }
+}
--- /dev/null
+++ b/crates/link/src/turns.rs
@@ -0,0 +1,120 @@
+//! When bytes that are read now can have come at the earliest. A process that was stopped reads late what came in
+//! time, and must not give an invocation the time that passed meanwhile once more.
+
+use crate::Clock;
+use bytes::BytesMut;
+use saltdrum::port::{MILLI, Tenths};
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use tokio::io::{AsyncRead, ReadBuf};
+
+/// A thread takes a turn at least this often while it runs.
+pub const TURN_EVERY: Tenths = 10 * MILLI;
+/// Turns further apart mean that the thread stood still.
+const STOOD: Tenths = 40 * MILLI;
+const READ_BYTES: usize = 32 << 10;
+
+/// The turns of one thread: when it last looked, and the last time it stood still.
+#[derive(Clone, Default)]
+pub struct Turns {
+    last: Rc<Cell<Tenths>>,
+    before: Rc<Cell<Tenths>>,
+    stood: Rc<Cell<(Tenths, Tenths)>>,
+}
+
+impl Turns {
+    /// Notes a turn. Gives the time stood still, if it was unusually long.
+    pub fn turn(&self, now: Tenths) -> Option<Tenths> {
+        let last = self.last.replace(now);
+        self.before.set(last);
+        let gap = now.saturating_sub(last);
+        (last > 0 && gap > STOOD).then(|| {
+            self.stood.set((last, now));
+            gap
+        })
+    }
+
+    /// The earliest time at which bytes read at `now` can have come, on a stream last found empty at `empty`.
+    pub fn earliest(&self, empty: Tenths, now: Tenths) -> Tenths {
+        // A stop that no turn has noted yet: the thread's own clock tells.
+        if now.saturating_sub(self.last.get()) > STOOD {
+            return self.last.get().max(empty);
+        }
+        let (from, to) = self.stood.get();
+        if to >= empty { from.max(empty) } else { self.before.get().max(empty) }
+    }
+}
+
+/// Takes turns for as long as the thread runs, and calls `stood` when there was a gap.
+pub async fn turning(turns: Turns, clock: Clock, stood: impl Fn(Tenths, Tenths)) {
+    loop {
+        let now = clock.now();
+        if let Some(gap) = turns.turn(now) {
+            stood(now, gap);
+        }
+        clock.sleep_until(now + TURN_EVERY).await;
+    }
+}
+
+/// Reads a stream and keeps in mind when it was last found empty.
+pub struct Read<S> {
+    stream: S,
+    pub bytes: BytesMut,
+    empty: Tenths,
+    clock: Clock,
+    turns: Turns,
+}
+
+impl<S: AsyncRead + Unpin> Read<S> {
+    pub fn new(stream: S, clock: Clock, turns: Turns) -> Self {
+        Self { stream, bytes: BytesMut::new(), empty: clock.now(), clock, turns }
+    }
+
+    /// Reads more bytes; gives the earliest time they can have come, `None` at the stream's end.
+    pub async fn more(&mut self) -> io::Result<Option<Tenths>> {
+        self.bytes.reserve(READ_BYTES);
+        let (stream, bytes, empty, clock) = (&mut self.stream, &mut self.bytes, &mut self.empty, self.clock);
+        let got = poll_fn(|cx| {
+            let held = bytes.len();
+            bytes.resize(held + READ_BYTES, 0);
+            let mut buf = ReadBuf::new(&mut bytes[held..]);
+            let polled = Pin::new(&mut *stream).poll_read(cx, &mut buf);
+            let got = buf.filled().len();
+            bytes.truncate(held + got);
+            match polled {
+                Poll::Pending => {
+                    *empty = clock.now();
+                    Poll::Pending
+                }
+                Poll::Ready(done) => Poll::Ready(done.map(|()| got)),
+            }
+        })
+        .await?;
+        Ok((got > 0).then(|| self.turns.earliest(self.empty, self.clock.now())))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_read_after_a_stop_may_have_come_when_it_began() {
+        let turns = Turns::default();
+        for at in [1_000, 1_100, 1_200] {
+            assert_eq!(turns.turn(at), None);
+        }
+        assert_eq!(turns.earliest(1_150, 1_210), 1_150, "the stream was found empty since");
+        assert_eq!(turns.earliest(500, 1_210), 1_100, "not before the turn before the last");
+        assert_eq!(turns.earliest(500, 9_000), 1_200, "no turn since: the stop has just ended");
+        assert_eq!(turns.turn(21_200), Some(20_000));
+        assert_eq!(turns.earliest(500, 21_210), 1_200);
+        turns.turn(21_300);
+        assert_eq!(turns.earliest(1_150, 21_310), 1_200, "still the backlog: not found empty since");
+        assert_eq!(turns.earliest(21_250, 21_310), 21_250);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/invoker.rs
@@ -0,0 +1,553 @@
+//! An invoker: sockets round a [`Machine`], and the faults it can be told to show.
+
+use crate::machine::{Ask, Build, Job, Machine, Order, Shape, Yard};
+use crate::record::{Line, Record, Try, Who};
+use bytes::BytesMut;
+use saltdrum::port::{Effect, FnId, MILLI, Scope, Tenths};
+use saltdrum_deployment::{Terms, terms};
+use saltdrum_link::{Address, Clock, Half, Network, Outbox, Read, Stream, Turns, halves};
+use saltdrum_protocol::frame::{cut, encode};
+use saltdrum_protocol::invoker as wire;
+use saltdrum_protocol::{list, store};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// What an invoker is told to do wrong. The default is nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Takes work and answers nothing, until it is over; then nothing of it is answered either.
+    pub hangs: bool,
+    /// Share of dispatches that are answered with an error at once.
+    pub errors: f64,
+    /// Share of answers that are lost on their way.
+    pub loses_answers: f64,
+    /// Reads nothing from its sockets.
+    pub stuck: bool,
+    /// Of this tenant's dispatches, so many are refused for room.
+    pub refuses: Option<(String, f64)>,
+    /// Load reports are so old.
+    pub reports_late: Tenths,
+    /// The next answers are sent by halves, and the link is closed after the half.
+    pub half_frames: bool,
+}
+
+/// Tokens that invokers of one group know together.
+pub type Tokens = Rc<RefCell<BTreeMap<(u8, u16, String), Tenths>>>;
+
+/// What an invoker needs to be put up.
+#[derive(Clone)]
+pub struct Site {
+    pub terms: Rc<Terms>,
+    pub stated: terms::Stated,
+    pub network: Rc<dyn Network>,
+    pub clock: Clock,
+    pub turns: Turns,
+    pub record: Record,
+    pub at: Address,
+    pub store: Option<Address>,
+    pub tokens: Tokens,
+    pub seed: u64,
+    /// Share of a load that is the fetch.
+    pub fetch_share: f64,
+}
+
+pub struct Invoker {
+    pub site: Site,
+    pub faults: RefCell<Faults>,
+    life: RefCell<Life>,
+    tasks: RefCell<JoinSet<()>>,
+    calm: Notify,
+}
+
+/// What ends with the process.
+struct Life {
+    incarnation: u64,
+    started: Tenths,
+    cold: bool,
+    up: bool,
+    machine: Machine,
+    links: BTreeMap<u64, (Who, Outbox)>,
+    links_made: u64,
+    jobs: BTreeMap<Job, Held>,
+    reports: Vec<(Tenths, wire::Load)>,
+    rng: fastrand::Rng,
+    moved: Rc<Notify>,
+}
+
+#[derive(Clone)]
+struct Held {
+    who: Who,
+    invocation: u32,
+    hop: u8,
+    of: Try,
+    trigger: String,
+    token: Option<String>,
+}
+
+#[derive(serde::Deserialize, Default)]
+struct Input {
+    #[serde(default)]
+    n: u64,
+    #[serde(default)]
+    attempt: u32,
+    #[serde(default)]
+    work_ms: f64,
+}
+
+/// Hands what the machine says to the sockets and the record.
+struct Desk<'a> {
+    this: &'a Rc<Invoker>,
+    now: Tenths,
+    links: &'a BTreeMap<u64, (Who, Outbox)>,
+    jobs: &'a mut BTreeMap<Job, Held>,
+    load: wire::Load,
+    fetches: Vec<FnId>,
+    rng: &'a mut fastrand::Rng,
+}
+
+impl Yard for Desk<'_> {
+    fn begins(&mut self, job: Job) -> bool {
+        let Some(h) = self.jobs.get(&job).cloned() else { return true };
+        let site = &self.this.site;
+        let repeat = h.token.as_ref().is_some_and(|t| site.knows(&h.trigger, t, self.now));
+        let invoker = site.stated.invoker;
+        site.record.note(Line::Ran {
+            at: self.now,
+            invoker,
+            who: h.who,
+            invocation: h.invocation,
+            hop: h.hop,
+            of: h.of,
+            token: h.token,
+            repeat,
+        });
+        !repeat
+    }
+
+    fn ended(&mut self, job: Job, ended: wire::Ended, found: Option<wire::Found>, crowd: u8) {
+        let output = match ended {
+            wire::Ended::Succeeded => b"{\"heard\":true}".to_vec(),
+            _ => Vec::new(),
+        };
+        self.answer(job, ended, found, Some(crowd), output);
+    }
+
+    fn held(&mut self, (link, order): Order, ended: wire::HoldEnded, standing: u8) {
+        if let Some((_, outbox)) = self.links.get(&link).filter(|_| !self.this.faults.borrow().hangs) {
+            outbox.put(encode(&wire::Held { order, ended, standing }), Tenths::MAX);
+        }
+    }
+
+    fn fetch(&mut self, function: FnId) {
+        self.fetches.push(function);
+    }
+
+    fn loaded(&mut self, function: FnId, took: Tenths, ok: bool) {
+        let invoker = self.this.site.stated.invoker;
+        self.this.site.record.note(Line::Loaded { at: self.now, invoker, function, took, ok });
+    }
+}
+
+impl Desk<'_> {
+    fn answer(
+        &mut self,
+        job: Job,
+        ended: wire::Ended,
+        found: Option<wire::Found>,
+        crowd: Option<u8>,
+        output: Vec<u8>,
+    ) {
+        let Some(h) = self.jobs.remove(&job) else { return };
+        let faults = self.this.faults.borrow();
+        let lost = faults.hangs || self.rng.f64() < faults.loses_answers;
+        let link = self.links.get(&job.0).filter(|_| !lost);
+        if let Some((_, outbox)) = link {
+            let frame = encode(&wire::Answer {
+                dispatch: job.1,
+                ended,
+                found,
+                crowd,
+                load: self.load,
+                output: output.into(),
+            });
+            if faults.half_frames {
+                outbox.put(frame.slice(..frame.len() / 2), Tenths::MAX);
+                outbox.close();
+            } else {
+                outbox.put(frame, Tenths::MAX);
+            }
+        }
+        let told = link.is_some() && !faults.half_frames;
+        let (invoker, ended) = (self.this.site.stated.invoker, format!("{ended:?}").to_lowercase());
+        let Held { who, invocation, hop, of, .. } = h;
+        let line = Line::Ended { at: self.now, invoker, who, invocation, hop, of, ended, told };
+        self.this.site.record.note(line);
+    }
+}
+
+impl Site {
+    fn trigger(&self, name: &str) -> Option<&saltdrum::port::TriggerType> {
+        let at = self.terms.trigger_names.iter().position(|t| t == name)?;
+        self.terms.deployment.trigger_types.get(at)
+    }
+
+    /// Whether the token was seen within its window; from now on it is.
+    fn knows(&self, trigger: &str, token: &str, now: Tenths) -> bool {
+        let Some(t) = self.trigger(trigger).filter(|t| t.effect == Effect::Tokened) else { return false };
+        let group = match t.scope {
+            Scope::All => (0, 0),
+            Scope::Zone => (self.stated.zone, 0),
+            Scope::Cell => (self.stated.zone, self.stated.cell),
+        };
+        let (mut tokens, key) = (self.tokens.borrow_mut(), (group.0, group.1, token.to_owned()));
+        let known = tokens.get(&key).is_some_and(|at| now < at + t.repeat_window);
+        if !known {
+            tokens.insert(key, now);
+        }
+        known
+    }
+
+    fn machine(&self, now: Tenths, cold: bool) -> Machine {
+        let (kind, d) = (&self.terms.kinds[self.stated.kind], &self.terms.deployment);
+        let per_core = |n: u32| (n * kind.cores) as usize;
+        let build = Build {
+            cores: kind.cores.into(),
+            speed: kind.speed,
+            memory: kind.memory.0,
+            slots: per_core(kind.slots_per_core),
+            queue: per_core(kind.queue_per_core),
+            loads_at_once: kind.loads_at_once as usize,
+            keep_alive: d.keep_alive,
+            misses: d.misses,
+            stops_running: false,
+            cold_share: d.cold_share,
+            cold_time: d.cold_time,
+            started: cold.then_some(now),
+        };
+        let shape = |f: &terms::Function| {
+            let load = f.load.unwrap_or(1_000 * MILLI) as f64;
+            let start = (load * (1.0 - self.fetch_share)) as Tenths;
+            (f.id, Shape { memory: f.memory, lanes: f.lanes as usize, start })
+        };
+        Machine::new(now, build, self.terms.functions.values().map(shape).collect())
+    }
+}
+
+impl Invoker {
+    pub fn new(site: Site) -> Rc<Self> {
+        let now = site.clock.now();
+        let life = Life {
+            incarnation: 0,
+            started: now,
+            cold: false,
+            up: false,
+            machine: site.machine(now, false),
+            links: BTreeMap::new(),
+            links_made: 0,
+            jobs: BTreeMap::new(),
+            reports: Vec::new(),
+            rng: fastrand::Rng::with_seed(site.seed),
+            moved: Rc::default(),
+        };
+        Rc::new(Self {
+            site,
+            faults: RefCell::default(),
+            life: RefCell::new(life),
+            tasks: RefCell::default(),
+            calm: Notify::new(),
+        })
+    }
+
+    /// Starts the process: cold and empty, or as if it had long been up and held what it is given.
+    pub async fn start(self: &Rc<Self>, cold: bool, holds: &[FnId]) -> std::io::Result<Address> {
+        let (mut door, address) = self.site.network.listen(&self.site.at).await?;
+        let now = self.site.clock.now();
+        let incarnation = {
+            let life = &mut *self.life.borrow_mut();
+            life.incarnation += 1;
+            (life.started, life.cold, life.up) = (now, cold, true);
+            life.machine = self.site.machine(now, cold);
+            life.machine.hold_from_the_start(holds.iter().copied());
+            life.moved = Rc::default();
+            life.incarnation
+        };
+        let invoker = self.site.stated.invoker;
+        self.site.record.note(Line::Invoker { at: now, invoker, incarnation, up: true, cold });
+        let (this, ticking) = (Rc::downgrade(self), self.clone());
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.spawn_local(async move {
+            while let Ok(stream) = door.accept().await {
+                let Some(invoker) = this.upgrade() else { return };
+                let attending = invoker.clone();
+                invoker.tasks.borrow_mut().spawn_local(async move { attending.attend(stream).await });
+            }
+        });
+        tasks.spawn_local(async move { ticking.run().await });
+        Ok(address)
+    }
+
+    /// The process dies: links, work and copies are gone.
+    pub fn crash(&self) {
+        self.tasks.borrow_mut().abort_all();
+        let now = self.site.clock.now();
+        let life = &mut *self.life.borrow_mut();
+        life.links.clear();
+        life.jobs.clear();
+        life.up = false;
+        let (invoker, incarnation) = (self.site.stated.invoker, life.incarnation);
+        self.site.record.note(Line::Invoker { at: now, invoker, incarnation, up: false, cold: false });
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.life.borrow().up
+    }
+
+    /// Its line on the list, as it is now.
+    pub fn entry(&self, address: &Address, state: list::Life) -> list::Entry {
+        let (life, stated) = (self.life.borrow(), &self.site.stated);
+        let age = self.site.clock.now() - life.started;
+        list::Entry {
+            invoker: stated.invoker,
+            address: address.to_string(),
+            zone: stated.zone,
+            kind: stated.kind as u16,
+            cell: stated.cell,
+            life: state,
+            size: self.site.terms.size(stated.kind),
+            incarnation: life.incarnation,
+            age_tenths: if life.cold { age } else { age + 3 * self.site.terms.deployment.cold_time },
+        }
+    }
+
+    /// Lets faults begin or end.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults, &mut Machine)) {
+        change(&mut self.faults.borrow_mut(), &mut self.life.borrow_mut().machine);
+        self.calm.notify_waiters();
+    }
+
+    pub fn flush(&self, share: f64) {
+        let life = &mut *self.life.borrow_mut();
+        life.machine.flush(share, &mut life.rng);
+    }
+
+    /// Lets the machine work on something, and sees to what it asks for.
+    fn with(self: &Rc<Self>, then: impl FnOnce(&mut Machine, Tenths, &mut Desk)) {
+        let (now, faults) = (self.site.clock.now(), self.faults.borrow().clone());
+        let life = &mut *self.life.borrow_mut();
+        let (busy, waiting) = life.machine.load();
+        let fresh = wire::Load { cores_busy: Some(busy), waiting: Some(waiting) };
+        life.reports.push((now, fresh));
+        let old = life.reports.iter().rposition(|(at, _)| at + faults.reports_late <= now).unwrap_or(0);
+        life.reports.drain(..old);
+        let load = life.reports[0].1;
+        let mut desk = Desk {
+            this: self,
+            now,
+            links: &life.links,
+            jobs: &mut life.jobs,
+            load,
+            fetches: Vec::new(),
+            rng: &mut life.rng,
+        };
+        then(&mut life.machine, now, &mut desk);
+        desk.fetches.into_iter().for_each(|function| self.begin_fetch(function));
+        life.moved.notify_one();
+    }
+
+    fn begin_fetch(self: &Rc<Self>, function: FnId) {
+        let this = self.clone();
+        let mut tasks = self.tasks.borrow_mut();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn_local(async move {
+            let ok = this.fetch(function).await;
+            this.with(|machine, now, yard| machine.fetched(now, function, ok, yard));
+        });
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            let (next, moved) = {
+                let life = self.life.borrow();
+                (life.machine.next(), life.moved.clone())
+            };
+            let at = next.unwrap_or(self.site.clock.now() + 1_000 * MILLI);
+            tokio::select! {
+                () = self.site.clock.sleep_until(at) => {
+                    self.with(|machine, now, yard| machine.advance(now, yard));
+                    moved.notified().await;
+                }
+                () = moved.notified() => {}
+            }
+        }
+    }
+
+    async fn fetch(&self, function: FnId) -> bool {
+        let stated = self.site.terms.functions.values().find(|f| f.id == function);
+        let load = stated.and_then(|f| f.load).unwrap_or(1_000 * MILLI) as f64;
+        let usual_tenths = (load * self.site.fetch_share) as Tenths;
+        let Some(store) = &self.site.store else {
+            tokio::time::sleep(Duration::from_micros(usual_tenths * 100)).await;
+            return true;
+        };
+        let fetch = encode(&store::Fetch { invoker: self.site.stated.invoker, function, usual_tenths });
+        for tried in 0..3u32 {
+            let Ok(mut stream) = self.site.network.dial(store).await else { return false };
+            if stream.write_all(&fetch).await.is_err() {
+                return false;
+            }
+            let mut read = BytesMut::new();
+            let answer = loop {
+                match cut(&mut read) {
+                    Ok(Some((kind, body))) => break store::FromStore::read(kind, &body),
+                    Ok(None) => match stream.read_buf(&mut read).await {
+                        Ok(n) if n > 0 => {}
+                        _ => return false,
+                    },
+                    Err(_) => return false,
+                }
+            };
+            match answer {
+                Ok(store::FromStore::Fetched(_)) => return true,
+                Ok(store::FromStore::Refused(r)) => {
+                    let jitter = self.life.borrow_mut().rng.f64() + 0.5;
+                    let wait = (r.come_back_tenths << tried) as f64 * jitter;
+                    tokio::time::sleep(Duration::from_micros((wait * 100.0) as u64)).await;
+                }
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    async fn unstuck(&self) {
+        while self.faults.borrow().stuck {
+            self.calm.notified().await;
+        }
+    }
+
+    async fn attend(self: Rc<Self>, stream: Stream) {
+        self.unstuck().await;
+        let (input, mut output) = halves(stream);
+        let clock = self.site.clock;
+        let mut read = Read::new(input, clock, self.site.turns.clone());
+        let Some((kind, body, _)) = next_frame(&mut read).await else { return };
+        let hello = match wire::FromController::read(kind, &body) {
+            Ok(wire::FromController::Hello(h)) => h,
+            _ => return,
+        };
+        let invoker = self.site.stated.invoker;
+        let version = match wire::agree(&hello) {
+            Ok(version) if hello.invoker == invoker => version,
+            refused => {
+                let why = match refused {
+                    Err(e) => e.to_string(),
+                    Ok(_) => format!("invoker {invoker} is here"),
+                };
+                let _ = output.write_all(&encode(&wire::Unwelcome { why })).await;
+                return;
+            }
+        };
+        let who = Who { controller: hello.controller, incarnation: hello.incarnation };
+        let outbox = Outbox::new(16 << 20);
+        let link = {
+            let life = &mut *self.life.borrow_mut();
+            life.links_made += 1;
+            life.links.insert(life.links_made, (who, outbox.clone()));
+            let age = clock.now() - life.started;
+            let age_tenths = if life.cold { age } else { age + 3 * self.site.terms.deployment.cold_time };
+            let welcome = wire::Welcome { version, invoker, incarnation: life.incarnation, age_tenths };
+            outbox.put(encode(&welcome), Tenths::MAX);
+            life.links_made
+        };
+        tokio::select! {
+            () = self.hear(link, who, &mut read) => {}
+            _ = outbox.write_to(&mut output, || clock.now(), |_| ()) => {}
+        }
+        self.life.borrow_mut().links.remove(&link);
+        self.with(|machine, now, yard| machine.link_lost(now, link, yard));
+    }
+
+    async fn hear(self: &Rc<Self>, link: u64, who: Who, read: &mut Read<Half>) {
+        loop {
+            self.unstuck().await;
+            let Some((kind, body, earliest)) = next_frame(read).await else { return };
+            let Ok(message) = wire::FromController::read(kind, &body) else { return };
+            let (at, invoker) = (self.site.clock.now(), self.site.stated.invoker);
+            match message {
+                wire::FromController::Dispatch(d) => self.take(link, who, d, earliest),
+                wire::FromController::Cancel(c) => {
+                    if let Some(h) = self.life.borrow().jobs.get(&(link, c.dispatch)) {
+                        let (invocation, hop) = (h.invocation, h.hop);
+                        self.site.record.note(Line::Cancelled { at, invoker, who, invocation, hop });
+                    }
+                    self.with(|machine, now, yard| machine.cancel(now, (link, c.dispatch), yard));
+                }
+                wire::FromController::Hold(h) => {
+                    let (function, count) = (h.function, h.count);
+                    self.site.record.note(Line::Ordered { at, earliest, invoker, who, function, count });
+                    self.with(|machine, now, yard| machine.hold(now, (link, h.order), function, count, yard));
+                }
+                wire::FromController::Unload(u) => {
+                    self.with(|machine, now, yard| machine.unload(now, u.function, yard));
+                }
+                wire::FromController::Probe(p) => {
+                    let (busy, waiting) = self.life.borrow().machine.load();
+                    let load = wire::Load { cores_busy: Some(busy), waiting: Some(waiting) };
+                    if let Some((_, outbox)) = self.life.borrow().links.get(&link) {
+                        outbox.put(encode(&wire::Probed { probe: p.probe, load }), Tenths::MAX);
+                    }
+                }
+                wire::FromController::Hello(_) => return,
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, link: u64, who: Who, d: wire::Dispatch, earliest: Tenths) {
+        let (at, job) = (self.site.clock.now(), (link, d.dispatch));
+        let input: Input = serde_json::from_slice(&d.input).unwrap_or_default();
+        let of = Try { n: input.n, attempt: input.attempt };
+        let (invoker, invocation, hop, trigger) =
+            (self.site.stated.invoker, d.invocation, d.hop, d.trigger.clone());
+        self.site.record.note(Line::Dispatched {
+            at,
+            earliest,
+            invoker,
+            who,
+            invocation,
+            hop,
+            of,
+            trigger: trigger.clone(),
+        });
+        let held = Held { who, invocation, hop, of, trigger, token: d.token };
+        let faults = self.faults.borrow().clone();
+        let ask =
+            Ask { function: d.function, work: input.work_ms * MILLI as f64, expires: at + d.left_tenths };
+        self.with(|machine, now, yard| {
+            yard.jobs.insert(job, held);
+            let refused =
+                faults.refuses.as_ref().is_some_and(|(t, share)| *t == d.tenant && yard.rng.f64() < *share);
+            if refused {
+                yard.answer(job, wire::Ended::Full, None, None, Vec::new());
+            } else if yard.rng.f64() < faults.errors {
+                yard.answer(job, wire::Ended::Errored, None, None, b"told to fail".to_vec());
+            } else {
+                machine.dispatch(now, job, ask, yard);
+            }
+        });
+    }
+}
+
+async fn next_frame(read: &mut Read<Half>) -> Option<(u8, bytes::Bytes, Tenths)> {
+    let mut earliest = Cell::new(0);
+    loop {
+        if let Some((kind, body)) = cut(&mut read.bytes).ok()? {
+            return Some((kind, body, *earliest.get_mut()));
+        }
+        earliest.set(read.more().await.ok()??);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,140 @@
+//! The invoker list: whole first, changes after; late by its notice, and lost when told so.
+
+use crate::record::{Line, Record, Who};
+use bytes::BytesMut;
+use saltdrum::port::Tenths;
+use saltdrum_link::{Address, Clock, Network, Outbox, Stream, halves};
+use saltdrum_protocol::frame::{cut, encode};
+use saltdrum_protocol::list::{Change, Entry, FromList, Life, ToList, Whole};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::io::AsyncReadExt;
+use tokio::task::JoinSet;
+
+pub struct List {
+    clock: Clock,
+    record: Record,
+    network: Rc<dyn Network>,
+    at: Address,
+    entries: RefCell<BTreeMap<u32, (Entry, Tenths)>>,
+    revision: Cell<u64>,
+    followers: RefCell<Vec<(Who, Outbox)>>,
+    tasks: RefCell<JoinSet<()>>,
+}
+
+fn word(life: Life) -> &'static str {
+    match life {
+        Life::Ready => "ready",
+        Life::Draining => "draining",
+        Life::Gone => "gone",
+    }
+}
+
+impl List {
+    /// Listens and serves on the `LocalSet` it is called on; gives where.
+    pub async fn open(
+        network: Rc<dyn Network>,
+        clock: Clock,
+        record: Record,
+        at: &Address,
+    ) -> std::io::Result<(Rc<Self>, Address)> {
+        let list = Rc::new(Self {
+            clock,
+            record,
+            network,
+            at: at.clone(),
+            entries: RefCell::default(),
+            revision: Cell::new(1),
+            followers: RefCell::default(),
+            tasks: RefCell::default(),
+        });
+        let address = list.come_back().await?;
+        Ok((list, address))
+    }
+
+    /// Serves again after [`Self::lose`].
+    pub async fn come_back(self: &Rc<Self>) -> std::io::Result<Address> {
+        let (mut door, address) = self.network.listen(&self.at).await?;
+        let this = Rc::downgrade(self);
+        self.tasks.borrow_mut().spawn_local(async move {
+            while let Ok(stream) = door.accept().await {
+                let Some(list) = this.upgrade() else { return };
+                let serving = list.clone();
+                list.tasks.borrow_mut().spawn_local(async move { serving.attend(stream).await });
+            }
+        });
+        Ok(address)
+    }
+
+    /// Every follower is cut off, and nobody answers.
+    pub fn lose(&self) {
+        self.tasks.borrow_mut().abort_all();
+        self.followers.borrow_mut().clear();
+    }
+
+    async fn attend(self: Rc<Self>, stream: Stream) {
+        let (mut input, mut output) = halves(stream);
+        let mut read = BytesMut::new();
+        let follow = loop {
+            match cut(&mut read) {
+                Ok(Some((kind, body))) => break ToList::read(kind, &body),
+                Ok(None) => match input.read_buf(&mut read).await {
+                    Ok(n) if n > 0 => {}
+                    _ => return,
+                },
+                Err(_) => return,
+            }
+        };
+        let Ok(ToList::Follow(f)) = follow else { return };
+        let who = Who { controller: f.controller, incarnation: f.incarnation };
+        let outbox = Outbox::new(16 << 20);
+        let entries: Vec<Entry> =
+            self.entries.borrow().values().map(|(e, since)| self.aged(e, *since)).collect();
+        self.note_told(who, &entries);
+        let whole = Whole { revision: self.revision.get(), settled: true, entries };
+        outbox.put(encode(&whole), Tenths::MAX);
+        self.followers.borrow_mut().push((who, outbox.clone()));
+        let clock = self.clock;
+        let gone = async {
+            while let Ok(1..) = input.read_buf(&mut read).await {
+                read.clear();
+            }
+        };
+        tokio::select! {
+            () = gone => {}
+            _ = outbox.write_to(&mut output, || clock.now(), |_| ()) => {}
+        }
+        self.followers.borrow_mut().retain(|(w, _)| *w != who);
+    }
+
+    fn aged(&self, entry: &Entry, since: Tenths) -> Entry {
+        Entry { age_tenths: entry.age_tenths + (self.clock.now() - since), ..entry.clone() }
+    }
+
+    fn note_told(&self, who: Who, entries: &[Entry]) {
+        let at = self.clock.now();
+        for e in entries {
+            let life = word(e.life).to_owned();
+            let line = Line::Told { at, who, invoker: e.invoker, incarnation: e.incarnation, life };
+            self.record.note(line);
+        }
+    }
+
+    /// A line is new or other than before; all who follow hear of it.
+    pub fn say(&self, entry: Entry) {
+        let now = self.clock.now();
+        self.revision.set(self.revision.get() + 1);
+        let change = FromList::Change(Change { revision: self.revision.get(), entries: vec![entry.clone()] });
+        let FromList::Change(change) = change else { return };
+        for (who, outbox) in self.followers.borrow().iter() {
+            outbox.put(encode(&change), Tenths::MAX);
+            self.note_told(*who, &change.entries);
+        }
+        if entry.life == Life::Gone {
+            self.entries.borrow_mut().remove(&entry.invoker);
+        } else {
+            self.entries.borrow_mut().insert(entry.invoker, (entry, now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/record.rs
@@ -0,0 +1,240 @@
+//! What was seen, by whom, when. Times are tenths of a millisecond on one clock for all who write.
+
+use saltdrum::port::Tenths;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::io::{self, BufRead, Write};
+use std::rc::Rc;
+
+/// A controller and which of its lives it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Who {
+    pub controller: u32,
+    pub incarnation: u64,
+}
+
+/// One try of a client: its number for the invocation, and which try it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Try {
+    pub n: u64,
+    pub attempt: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    Succeeded,
+    Throttled,
+    Errored,
+}
+
+/// A trigger type as the rules see it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Trigger {
+    pub name: String,
+    /// `idempotent`, `tokened` or `non-idempotent`.
+    pub effect: String,
+    /// `all`, `zone` or `cell`: who drops a token's repeats together.
+    pub scope: String,
+    pub repeat_window: Tenths,
+    pub objective: Tenths,
+    pub billed_value: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Place {
+    pub invoker: u32,
+    pub zone: u8,
+    pub cell: u16,
+    /// Cores times speed.
+    pub pace: f64,
+}
+
+/// What the rules are judged by.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Stated {
+    pub triggers: Vec<Trigger>,
+    pub places: Vec<Place>,
+    pub parallel_dispatches: bool,
+    pub drain_grace: Tenths,
+    pub cold_share: f64,
+    pub cold_time: Tenths,
+    pub tip_factor: f64,
+    pub tip_window: Tenths,
+    pub order_window: Tenths,
+    pub orders_free: f64,
+    pub orders_share: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "kebab-case")]
+pub enum Line {
+    Stated(Stated),
+    /// By the client: the whole call has been written.
+    Sent {
+        at: Tenths,
+        who: Who,
+        of: Try,
+        tenant: String,
+        trigger: String,
+        function: String,
+        timeout: Tenths,
+        work: Tenths,
+    },
+    /// By the client: an answer was read, which came at `earliest` or later.
+    Final {
+        at: Tenths,
+        earliest: Tenths,
+        of: Try,
+        how: How,
+    },
+    /// By the client: it closed the connection on purpose before the answer.
+    HungUp {
+        at: Tenths,
+        of: Try,
+    },
+    /// By the client: the controller's side closed the connection before the answer.
+    CutOff {
+        at: Tenths,
+        of: Try,
+    },
+    /// By the client: it reads this connection late on purpose; what it reads proves nothing of when it came.
+    ReadsSlowly {
+        at: Tenths,
+        of: Try,
+    },
+    /// By the invoker: a dispatch was read, which came at `earliest` or later.
+    Dispatched {
+        at: Tenths,
+        earliest: Tenths,
+        invoker: u32,
+        who: Who,
+        invocation: u32,
+        hop: u8,
+        of: Try,
+        trigger: String,
+    },
+    /// By the invoker: work began. `repeat`: it was known by its token and not done again.
+    Ran {
+        at: Tenths,
+        invoker: u32,
+        who: Who,
+        invocation: u32,
+        hop: u8,
+        of: Try,
+        token: Option<String>,
+        repeat: bool,
+    },
+    /// By the invoker: a dispatch ended; `told`: the answer went out.
+    Ended {
+        at: Tenths,
+        invoker: u32,
+        who: Who,
+        invocation: u32,
+        hop: u8,
+        of: Try,
+        ended: String,
+        told: bool,
+    },
+    /// By the invoker: a cancel was read.
+    Cancelled {
+        at: Tenths,
+        invoker: u32,
+        who: Who,
+        invocation: u32,
+        hop: u8,
+    },
+    /// By the invoker: an order to hold was read.
+    Ordered {
+        at: Tenths,
+        earliest: Tenths,
+        invoker: u32,
+        who: Who,
+        function: u64,
+        count: u8,
+    },
+    /// By the invoker: a load came to its end.
+    Loaded {
+        at: Tenths,
+        invoker: u32,
+        function: u64,
+        took: Tenths,
+        ok: bool,
+    },
+    /// By the list: a line went out to a controller.
+    Told {
+        at: Tenths,
+        who: Who,
+        invoker: u32,
+        incarnation: u64,
+        life: String,
+    },
+    /// By the store: a fetch was asked for.
+    Fetched {
+        at: Tenths,
+        invoker: u32,
+        function: u64,
+        refused: bool,
+    },
+    /// By the stage: an invoker started, or ended.
+    Invoker {
+        at: Tenths,
+        invoker: u32,
+        incarnation: u64,
+        up: bool,
+        cold: bool,
+    },
+    /// By the stage: a controller started, or was killed.
+    Controller {
+        at: Tenths,
+        who: Who,
+        up: bool,
+    },
+    /// By whoever runs on the thread: it stood still.
+    Disturbed {
+        at: Tenths,
+        until: Tenths,
+        thread: String,
+    },
+    /// By the stage, from the script.
+    Trouble {
+        at: Tenths,
+        until: Tenths,
+        text: String,
+    },
+    /// By the stage: nothing new was sent from then on.
+    Over {
+        at: Tenths,
+    },
+}
+
+/// Where the actors of one thread write.
+#[derive(Clone, Default)]
+pub struct Record(Rc<RefCell<Vec<Line>>>);
+
+impl Record {
+    pub fn note(&self, line: Line) {
+        self.0.borrow_mut().push(line);
+    }
+
+    pub fn take(&self) -> Vec<Line> {
+        std::mem::take(&mut self.0.borrow_mut())
+    }
+}
+
+/// Writes a record, a line of JSON each.
+pub fn write(lines: &[Line], to: &mut impl Write) -> io::Result<()> {
+    for line in lines {
+        serde_json::to_writer(&mut *to, line)?;
+        to.write_all(b"\n")?;
+    }
+    Ok(())
+}
+
+/// Reads a record; a fault names its line.
+pub fn read(from: impl BufRead) -> Result<Vec<Line>, String> {
+    let parse = |(n, line): (usize, io::Result<String>)| {
+        let line = line.map_err(|e| format!("line {}: {e}", n + 1))?;
+        serde_json::from_str(&line).map_err(|e| format!("line {}: {e}", n + 1))
+    };
+    from.lines().enumerate().map(parse).collect()
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,98 @@
+//! The model store: slower when many fetch at once, and refusing beyond a limit.
+
+use crate::record::{Line, Record};
+use bytes::BytesMut;
+use saltdrum::port::{MILLI, Tenths};
+use saltdrum_link::{Address, Clock, Network, Stream};
+use saltdrum_protocol::frame::{cut, encode};
+use saltdrum_protocol::store as wire;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Fetches at full pace; beyond, all slow down.
+const FULL_PACE: f64 = 6.0;
+const COME_BACK: Tenths = 200 * MILLI;
+
+pub struct Store {
+    pub limit: Cell<usize>,
+    /// How many times slower than usual.
+    pub slowness: Cell<f64>,
+    in_hand: Cell<usize>,
+    clock: Clock,
+    record: Record,
+    tasks: RefCell<Vec<tokio::task::JoinHandle<()>>>,
+}
+
+impl Store {
+    /// Listens and serves on the `LocalSet` it is called on; gives where.
+    pub async fn open(
+        network: Rc<dyn Network>,
+        clock: Clock,
+        record: Record,
+        at: &Address,
+        limit: usize,
+    ) -> std::io::Result<(Rc<Self>, Address)> {
+        let (mut door, address) = network.listen(at).await?;
+        let store = Rc::new(Self {
+            limit: Cell::new(limit),
+            slowness: Cell::new(1.0),
+            in_hand: Cell::new(0),
+            clock,
+            record,
+            tasks: RefCell::default(),
+        });
+        let this = store.clone();
+        let task = tokio::task::spawn_local(async move {
+            while let Ok(stream) = door.accept().await {
+                tokio::task::spawn_local(this.clone().attend(stream));
+            }
+        });
+        store.tasks.borrow_mut().push(task);
+        Ok((store, address))
+    }
+
+    async fn attend(self: Rc<Self>, mut stream: Stream) {
+        let mut read = BytesMut::new();
+        loop {
+            let fetch = match cut(&mut read) {
+                Ok(Some((kind, body))) => wire::ToStore::read(kind, &body),
+                Ok(None) => match stream.read_buf(&mut read).await {
+                    Ok(n) if n > 0 => continue,
+                    _ => return,
+                },
+                Err(_) => return,
+            };
+            let Ok(wire::ToStore::Fetch(fetch)) = fetch else { return };
+            let refused = self.in_hand.get() >= self.limit.get();
+            let (at, invoker, function) = (self.clock.now(), fetch.invoker, fetch.function);
+            self.record.note(Line::Fetched { at, invoker, function, refused });
+            let answer = if refused {
+                encode(&wire::Refused { function, come_back_tenths: COME_BACK })
+            } else {
+                self.in_hand.set(self.in_hand.get() + 1);
+                let _held = InHand(&self.in_hand);
+                let mut left = fetch.usual_tenths as f64;
+                while left > 0.0 {
+                    let step = 100.0f64.min(left.max(10.0));
+                    tokio::time::sleep(Duration::from_micros((step * 100.0) as u64)).await;
+                    let crowd = (self.in_hand.get() as f64 / FULL_PACE).max(1.0);
+                    left -= step / (crowd * self.slowness.get());
+                }
+                encode(&wire::Fetched { function })
+            };
+            if stream.write_all(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+struct InHand<'a>(&'a Cell<usize>);
+
+impl Drop for InHand<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
