--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,161 @@
+//! The command line: arguments, logs and exit codes, nothing else.
+
+mod run;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A gateway that hands invocations to invokers.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    /// Logs as lines of JSON.
+    #[arg(long, global = true)]
+    log_json: bool,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs controllers, each on a thread of its own, until interrupted.
+    Serve {
+        /// Starlark script of the deployment.
+        deployment: PathBuf,
+        /// Where the invoker list is: tcp:HOST:PORT or unix:PATH.
+        #[arg(long)]
+        list: String,
+        /// Where clients come in; once for each controller, in their order.
+        #[arg(long = "clients", required = true)]
+        clients: Vec<String>,
+        /// Number of the first controller here.
+        #[arg(long, default_value_t = 1)]
+        first: u32,
+        /// Zone these controllers are in, by its name in the deployment.
+        #[arg(long)]
+        zone: Option<String>,
+        /// Drawn from the system where it is left out.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Runs one stand-in until interrupted.
+    #[command(subcommand)]
+    Standin(Standin),
+    /// Plays a scripted day on loopback sockets and judges the five rules.
+    Play {
+        /// A script, or the name of a day that comes with the program.
+        #[arg(default_value = "bad-day")]
+        day: String,
+        /// In virtual time, on in-memory streams.
+        #[arg(long = "virtual")]
+        virtually: bool,
+        /// Facts as JSON in place of tables.
+        #[arg(long)]
+        json: bool,
+        /// Keeps the record here, for `check`.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Judges the five rules by a record.
+    Check {
+        record: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Calls a function and prints the answer.
+    Call {
+        /// Where a controller takes clients in.
+        #[arg(long)]
+        to: String,
+        #[arg(long)]
+        function: String,
+        #[arg(long)]
+        tenant: String,
+        #[arg(long)]
+        trigger: String,
+        /// JSON.
+        #[arg(long, default_value = "null")]
+        input: String,
+        #[arg(long)]
+        time_left_ms: Option<f64>,
+        #[arg(long)]
+        token: Option<String>,
+    },
+    /// Prints a controller's status.
+    Status {
+        #[arg(long)]
+        to: String,
+    },
+}
+
+#[derive(Subcommand)]
+enum Standin {
+    /// One invoker of the deployment.
+    Invoker {
+        deployment: PathBuf,
+        /// Its number in the deployment.
+        #[arg(long)]
+        number: u32,
+        #[arg(long)]
+        listen: String,
+        #[arg(long)]
+        store: Option<String>,
+    },
+    /// The model store.
+    Store {
+        #[arg(long)]
+        listen: String,
+        /// Fetches under way, beyond which it refuses.
+        #[arg(long, default_value_t = 24)]
+        limit: usize,
+    },
+    /// The invoker list. Every invoker that is given is on it.
+    List {
+        deployment: PathBuf,
+        #[arg(long)]
+        listen: String,
+        /// NUMBER=ADDRESS
+        #[arg(long = "invoker")]
+        invokers: Vec<String>,
+    },
+}
+
+/// 0 all kept, 1 a rule broken, 2 bad input, 3 the record does not tell.
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let filter = tracing_subscriber::EnvFilter::try_from_env("SALTDRUM_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("warn"));
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let logs = logs.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
+    if args.log_json {
+        logs.json().init();
+    } else {
+        logs.init();
+    }
+    let done = match args.what {
+        What::Serve { deployment, list, clients, first, zone, seed } => {
+            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed)
+        }
+        What::Standin(Standin::Invoker { deployment, number, listen, store }) => {
+            run::invoker(&deployment, number, &listen, store.as_deref())
+        }
+        What::Standin(Standin::Store { listen, limit }) => run::store(&listen, limit),
+        What::Standin(Standin::List { deployment, listen, invokers }) => {
+            run::list(&deployment, &listen, &invokers)
+        }
+        What::Play { day, virtually, json, record } => run::play(&day, virtually, json, record.as_deref()),
+        What::Check { record, json } => run::check(&record, json),
+        What::Call { to, function, tenant, trigger, input, time_left_ms, token } => {
+            run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token)
+        }
+        What::Status { to } => run::status(&to),
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(why) => {
+            eprintln!("saltdrum: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,276 @@
+//! What each sub-command starts.
+
+use saltdrum_controller::Seat;
+use saltdrum_day::check::State;
+use saltdrum_day::{DAYS, Day, check as rules, play_on_sockets, play_virtually, summary};
+use saltdrum_deployment::Terms;
+use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
+use saltdrum_protocol::list::{Entry, Life};
+use saltdrum_standin::invoker::Site;
+use saltdrum_standin::{Invoker, List, Record, Store, record};
+use std::cell::RefCell;
+use std::fs;
+use std::future::Future;
+use std::io::{BufReader, BufWriter, Write};
+use std::path::Path;
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
+use tokio::task::LocalSet;
+
+type Done = Result<u8, String>;
+
+fn text(path: &Path) -> Result<String, String> {
+    fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn terms(path: &Path) -> Result<Terms, String> {
+    let (terms, rest) = Terms::load(&path.to_string_lossy(), &text(path)?).map_err(|e| e.to_string())?;
+    match rest.iter().find(|s| !matches!(s.what, "day" | "traffic" | "trouble")) {
+        Some(s) => Err(s.fault("does not describe a deployment").to_string()),
+        None => Ok(terms),
+    }
+}
+
+fn on_this_thread<T>(work: impl Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    Ok(LocalSet::new().block_on(&runtime.map_err(|e| e.to_string())?, work))
+}
+
+async fn until_interrupted() {
+    let _ = tokio::signal::ctrl_c().await;
+}
+
+pub fn serve(
+    deployment: &Path,
+    list: &str,
+    clients: &[String],
+    first: u32,
+    zone: Option<&str>,
+    seed: Option<u64>,
+) -> Done {
+    let terms = terms(deployment)?;
+    let list: Address = list.parse()?;
+    let zone = match zone {
+        None => 0,
+        Some(name) => {
+            terms.zones.iter().position(|z| z == name).ok_or(format!("no zone is named '{name}'"))?
+        }
+    };
+    let mut threads = Vec::new();
+    for (n, clients) in clients.iter().enumerate() {
+        let (clients, list, terms): (Address, _, _) = (clients.parse()?, list.clone(), terms.clone());
+        let controller = first + n as u32;
+        // Drawn anew at each start, so that invokers and list tell its lives apart.
+        let incarnation = fastrand::u64(1..);
+        let seed = seed.map_or_else(|| fastrand::u64(..), |s| s ^ u64::from(controller));
+        threads.push(std::thread::spawn(move || {
+            on_this_thread(async {
+                let (zone, terms) = (zone as u8, Rc::new(terms));
+                let seat = Seat { controller, incarnation, seed, zone, clients: vec![clients], list, terms };
+                tokio::select! {
+                    done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start()) => {
+                        done.map_err(|e| format!("controller {controller}: {e}"))
+                    }
+                    () = until_interrupted() => Ok(()),
+                }
+            })?
+        }));
+    }
+    for thread in threads {
+        thread.join().map_err(|_| "a controller panicked".to_owned())??;
+    }
+    Ok(0)
+}
+
+pub fn invoker(deployment: &Path, number: u32, listen: &str, store: Option<&str>) -> Done {
+    let terms = Rc::new(terms(deployment)?);
+    let stated = terms.invokers.iter().find(|i| i.invoker == number).cloned();
+    let stated = stated.ok_or(format!("invoker {number}: the deployment states {}", terms.invokers.len()))?;
+    let (at, store) = (RefCell::new(listen.parse()?), store.map(str::parse).transpose()?);
+    on_this_thread(async {
+        let (clock, turns, record) = (Clock::start(), Turns::default(), Record::default());
+        tokio::task::spawn_local(turning(turns.clone(), clock, |_, _| ()));
+        let site = Site {
+            terms,
+            stated,
+            network: Rc::new(Sockets),
+            clock,
+            turns,
+            record: record.clone(),
+            at,
+            store,
+            tokens: Default::default(),
+            seed: fastrand::u64(..),
+            fetch_share: 0.6,
+        };
+        let address = Invoker::new(site).start(false, &[]).await.map_err(|e| format!("{listen}: {e}"))?;
+        println!("invoker {number} at {address}");
+        print_until_interrupted(&record).await;
+        Ok(0)
+    })?
+}
+
+/// A stand-in's record goes to standard output, a line of JSON each.
+async fn print_until_interrupted(record: &Record) {
+    let printing = async {
+        loop {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            let _ = record::write(&record.take(), &mut std::io::stdout().lock());
+        }
+    };
+    tokio::select! {
+        () = printing => {}
+        () = until_interrupted() => {}
+    }
+    let _ = record::write(&record.take(), &mut std::io::stdout().lock());
+}
+
+pub fn store(listen: &str, limit: usize) -> Done {
+    let at: Address = listen.parse()?;
+    on_this_thread(async {
+        let record = Record::default();
+        let opened = Store::open(Rc::new(Sockets), Clock::start(), record.clone(), &at, limit).await;
+        let (_store, address) = opened.map_err(|e| format!("{listen}: {e}"))?;
+        println!("store at {address}");
+        print_until_interrupted(&record).await;
+        Ok(0)
+    })?
+}
+
+pub fn list(deployment: &Path, listen: &str, invokers: &[String]) -> Done {
+    let (terms, at): (Terms, Address) = (terms(deployment)?, listen.parse()?);
+    let mut entries = Vec::new();
+    for said in invokers {
+        let (number, address) =
+            said.split_once('=').ok_or(format!("'{said}': NUMBER=ADDRESS is expected"))?;
+        let number: u32 = number.parse().map_err(|_| format!("'{said}': a number is expected before '='"))?;
+        let address: Address = address.parse()?;
+        let stated = terms.invokers.iter().find(|i| i.invoker == number);
+        let stated =
+            stated.ok_or(format!("invoker {number}: the deployment states {}", terms.invokers.len()))?;
+        entries.push(Entry {
+            invoker: number,
+            address: address.to_string(),
+            zone: stated.zone,
+            kind: stated.kind as u16,
+            cell: stated.cell,
+            life: Life::Ready,
+            size: terms.size(stated.kind),
+            incarnation: 1,
+            age_tenths: 3 * terms.deployment.cold_time,
+        });
+    }
+    on_this_thread(async {
+        let record = Record::default();
+        let opened = List::open(Rc::new(Sockets), Clock::start(), record.clone(), &at).await;
+        let (list, address) = opened.map_err(|e| format!("{listen}: {e}"))?;
+        entries.into_iter().for_each(|e| list.say(e));
+        println!("list at {address}");
+        print_until_interrupted(&record).await;
+        Ok(0)
+    })?
+}
+
+fn code(state: State) -> u8 {
+    match state {
+        State::Kept => 0,
+        State::Broken => 1,
+        State::CannotTell => 3,
+    }
+}
+
+pub fn play(day: &str, virtually: bool, json: bool, keep: Option<&Path>) -> Done {
+    let day = match DAYS.iter().find(|(name, _)| *name == day) {
+        Some((name, script)) => Day::load(&format!("{name}.star"), script),
+        None if day.ends_with(".star") => Day::load(day, &text(Path::new(day))?),
+        None => {
+            let names: Vec<&str> = DAYS.iter().map(|d| d.0).collect();
+            return Err(format!("'{day}': a script.star or one of {} is expected", names.join(", ")));
+        }
+    };
+    let day = day.map_err(|e| e.to_string())?;
+    let lines = if virtually {
+        play_virtually(&day)
+    } else {
+        let folder = std::env::temp_dir().join(format!("saltdrum-{}", std::process::id()));
+        fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let played = play_on_sockets(&day, &folder);
+        let _ = fs::remove_dir_all(&folder);
+        played
+    };
+    let lines = lines.map_err(|e| e.to_string())?;
+    if let Some(path) = keep {
+        let file = fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let mut file = BufWriter::new(file);
+        let kept = record::write(&lines, &mut file).and_then(|()| file.flush());
+        kept.map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    tell(&day.name, &lines, json)
+}
+
+pub fn check(path: &Path, json: bool) -> Done {
+    let file = fs::File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let lines = record::read(BufReader::new(file)).map_err(|e| format!("{}: {e}", path.display()))?;
+    tell(&path.to_string_lossy(), &lines, json)
+}
+
+fn tell(name: &str, lines: &[record::Line], json: bool) -> Done {
+    let summary = summary::sum_up(name, lines, rules::check(lines)?);
+    if json {
+        println!("{}", serde_json::to_string_pretty(&summary).map_err(|e| e.to_string())?);
+    } else {
+        print!("{}", summary.text());
+    }
+    Ok(code(summary.state()))
+}
+
+/// Sends one line and gives the answer's line.
+fn ask(to: &str, line: String) -> Result<String, String> {
+    let address: Address = to.parse()?;
+    on_this_thread(async {
+        let stream = Sockets.dial(&address).await.map_err(|e| format!("{address}: {e}"))?;
+        let mut stream = tokio::io::BufStream::new(stream);
+        let mut answer = String::new();
+        let told = async {
+            stream.write_all(line.as_bytes()).await?;
+            stream.write_all(b"\n").await?;
+            stream.flush().await?;
+            stream.read_line(&mut answer).await
+        };
+        match told.await {
+            Ok(0) => Err(format!("{address}: hung up without an answer")),
+            Ok(_) => Ok(answer),
+            Err(e) => Err(format!("{address}: {e}")),
+        }
+    })?
+}
+
+pub fn call(
+    to: &str,
+    function: &str,
+    tenant: &str,
+    trigger: &str,
+    input: &str,
+    time_left_ms: Option<f64>,
+    token: Option<String>,
+) -> Done {
+    let input: serde_json::Value = serde_json::from_str(input).map_err(|e| format!("--input: {e}"))?;
+    let mut params =
+        serde_json::json!({"function": function, "tenant": tenant, "trigger": trigger, "input": input});
+    if let Some(left) = time_left_ms {
+        params["time_left_ms"] = left.into();
+    }
+    if let Some(token) = token {
+        params["token"] = token.into();
+    }
+    let call = serde_json::json!({"jsonrpc": "2.0", "id": 1, "method": "invoke", "params": params});
+    let answer = ask(to, call.to_string())?;
+    print!("{answer}");
+    let reply: serde_json::Value = serde_json::from_str(&answer).map_err(|e| e.to_string())?;
+    Ok(u8::from(reply.get("error").is_some()))
+}
+
+pub fn status(to: &str) -> Done {
+    print!("{}", ask(to, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#.into())?);
+    Ok(0)
+}
--- /dev/null
+++ b/crates/day/src/check.rs
@@ -0,0 +1,455 @@
+//! The five rules, judged by what clients, stand-ins and the list wrote down. Knows nothing of module or controller.
+//!
+//! Each bound is on what the records prove: a frame that was read late may have come early, and counts by its earliest
+//! time. Where a thread stood still across the moment in question, the finding is "cannot tell", never "kept".
+
+use saltdrum::port::{MILLI, Tenths};
+use saltdrum_standin::record::{How, Line, Stated, Try, Who};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A thread that stood still for longer around the moment in question makes it undecidable.
+pub const DISTURBED: Tenths = 40 * MILLI;
+/// What lies between writing a line of the record and writing to the socket, on an undisturbed thread.
+const SLACK: Tenths = 20 * MILLI;
+/// Rule 4: slack for chance, in parts of the bound and in mean invocations.
+const COLD_SLACK: f64 = 0.1;
+const COLD_SLACK_INVS: f64 = 2.0;
+
+/// One breach, or one thing that can't be decided.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Finding {
+    pub at: Tenths,
+    pub text: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    Kept,
+    CannotTell,
+    Broken,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    pub rule: u8,
+    pub name: &'static str,
+    pub state: State,
+    /// How many cases were looked at.
+    pub looked_at: usize,
+    pub broken: Vec<Finding>,
+    pub cannot_tell: Vec<Finding>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct OneTry {
+    sent: Tenths,
+    who: Option<Who>,
+    trigger: String,
+    timeout: Tenths,
+    finals: Vec<(Tenths, Tenths, How)>,
+    hung_up: bool,
+    cut_off: Option<Tenths>,
+    reads_slowly: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Dispatch {
+    at: Tenths,
+    earliest: Tenths,
+    invoker: u32,
+    hop: u8,
+    of: Try,
+    trigger: String,
+    ran: Option<Tenths>,
+    /// When, how, and whether the controller was told.
+    ended: Option<(Tenths, String, bool)>,
+    cancelled: bool,
+}
+
+/// When, whether ready, and in the list's word.
+type News = (Tenths, bool, String);
+type Rule = fn(&Seen, &Stated) -> Findings;
+
+#[derive(Default)]
+struct Seen {
+    stated: Option<Stated>,
+    tries: BTreeMap<Try, OneTry>,
+    /// By invocation, in the order of hops.
+    dispatches: BTreeMap<(Who, u32), Vec<Dispatch>>,
+    /// Real runs (not dropped as repeats) of an invocation's effect.
+    runs: BTreeMap<u64, Vec<(Tenths, u32, Try)>>,
+    orders: Vec<(Tenths, Tenths, u32, Who, u64)>,
+    told: BTreeMap<(Who, u32), Vec<News>>,
+    lives: BTreeMap<u32, Vec<(Tenths, bool, bool)>>,
+    killed: BTreeMap<Who, Tenths>,
+    disturbed: Vec<(Tenths, Tenths, String)>,
+    work: BTreeMap<String, (f64, f64)>,
+}
+
+impl Seen {
+    fn of(lines: &[Line]) -> Self {
+        let mut s = Self::default();
+        for line in lines {
+            match line.clone() {
+                Line::Stated(stated) => s.stated = Some(stated),
+                Line::Sent { at, who, of, trigger, timeout, work, .. } => {
+                    let mean = s.work.entry(trigger.clone()).or_default();
+                    *mean = (mean.0 + work as f64, mean.1 + 1.0);
+                    let t = s.tries.entry(of).or_default();
+                    (t.sent, t.who, t.trigger, t.timeout) = (at, Some(who), trigger, timeout);
+                }
+                Line::Final { at, earliest, of, how } => {
+                    s.tries.entry(of).or_default().finals.push((at, earliest, how));
+                }
+                Line::HungUp { of, .. } => s.tries.entry(of).or_default().hung_up = true,
+                Line::CutOff { at, of } => s.tries.entry(of).or_default().cut_off = Some(at),
+                Line::ReadsSlowly { of, .. } => s.tries.entry(of).or_default().reads_slowly = true,
+                Line::Dispatched { at, earliest, invoker, who, invocation, hop, of, trigger } => {
+                    s.dispatches.entry((who, invocation)).or_default().push(Dispatch {
+                        at,
+                        earliest,
+                        invoker,
+                        hop,
+                        of,
+                        trigger,
+                        ran: None,
+                        ended: None,
+                        cancelled: false,
+                    });
+                }
+                Line::Ran { at, invoker, who, invocation, hop, of, repeat, .. } => {
+                    if let Some(d) = s.find(who, invocation, invoker, hop) {
+                        d.ran = Some(at);
+                    }
+                    if !repeat {
+                        s.runs.entry(of.n).or_default().push((at, invoker, of));
+                    }
+                }
+                Line::Ended { at, invoker, who, invocation, hop, ended, told, .. } => {
+                    if let Some(d) = s.find(who, invocation, invoker, hop) {
+                        d.ended = Some((at, ended, told));
+                    }
+                }
+                Line::Cancelled { invoker, who, invocation, hop, .. } => {
+                    if let Some(d) = s.find(who, invocation, invoker, hop) {
+                        d.cancelled = true;
+                    }
+                }
+                Line::Ordered { at, earliest, invoker, who, function, count } if count > 0 => {
+                    s.orders.push((at, earliest, invoker, who, function));
+                }
+                Line::Told { at, who, invoker, life, .. } => {
+                    s.told.entry((who, invoker)).or_default().push((at, life == "ready", life));
+                }
+                Line::Invoker { at, invoker, up, cold, .. } => {
+                    s.lives.entry(invoker).or_default().push((at, up, cold));
+                }
+                Line::Controller { at, who, up: false } => {
+                    s.killed.insert(who, at);
+                }
+                Line::Disturbed { at, until, thread } if until > at + DISTURBED => {
+                    s.disturbed.push((at, until, thread));
+                }
+                _ => {}
+            }
+        }
+        // A stuck invoker reads an earlier dispatch after a later one has come elsewhere.
+        s.dispatches.values_mut().for_each(|all| all.sort_by_key(|d| d.hop));
+        s
+    }
+
+    fn find(&mut self, who: Who, invocation: u32, invoker: u32, hop: u8) -> Option<&mut Dispatch> {
+        let all = self.dispatches.get_mut(&(who, invocation))?;
+        all.iter_mut().rev().find(|d| d.invoker == invoker && d.hop == hop)
+    }
+
+    /// Whether the stage, or this controller, stood still somewhere in the span.
+    fn was_disturbed(&self, who: Option<Who>, from: Tenths, to: Tenths) -> bool {
+        let theirs = who.map(|w| format!("controller-{}", w.controller));
+        self.disturbed.iter().any(|(a, b, thread)| {
+            *a <= to && *b >= from && (thread == "stage" || Some(thread) == theirs.as_ref())
+        })
+    }
+}
+
+#[derive(Default)]
+struct Findings {
+    looked_at: usize,
+    broken: Vec<Finding>,
+    cannot_tell: Vec<Finding>,
+}
+
+impl Findings {
+    fn found(&mut self, sure: bool, at: Tenths, text: String) {
+        if sure { &mut self.broken } else { &mut self.cannot_tell }.push(Finding { at, text });
+    }
+}
+
+/// Judges all five rules. A record that does not state the deployment can't be judged.
+pub fn check(lines: &[Line]) -> Result<Vec<Verdict>, String> {
+    let seen = Seen::of(lines);
+    let stated = seen.stated.clone().ok_or("the record does not state the deployment in its first line")?;
+    let rules: [(&str, Rule); 5] = [
+        ("one final answer in time", one_answer),
+        ("no double effect", no_double_effect),
+        ("drains are kept", drains),
+        ("cold invokers are not pushed over", cold),
+        ("orders to load are rationed", ration),
+    ];
+    let judge = |(n, (name, rule)): (usize, &(&'static str, Rule))| {
+        let f = rule(&seen, &stated);
+        let state = match (f.broken.is_empty(), f.cannot_tell.is_empty()) {
+            (false, _) => State::Broken,
+            (true, false) => State::CannotTell,
+            (true, true) => State::Kept,
+        };
+        let (broken, cannot_tell) = (f.broken, f.cannot_tell);
+        Verdict { rule: n as u8 + 1, name, state, looked_at: f.looked_at, broken, cannot_tell }
+    };
+    Ok(rules.iter().enumerate().map(judge).collect())
+}
+
+fn ms(t: Tenths) -> f64 {
+    t as f64 / MILLI as f64
+}
+
+fn one_answer(seen: &Seen, _: &Stated) -> Findings {
+    let mut f = Findings::default();
+    for (of, t) in &seen.tries {
+        let Some(who) = t.who else { continue };
+        f.looked_at += 1;
+        let name = format!("invocation {}.{} at controller {}", of.n, of.attempt, who.controller);
+        let due = t.sent + t.timeout;
+        if t.finals.len() > 1 {
+            let all: Vec<String> =
+                t.finals.iter().map(|(at, _, how)| format!("{how:?} at {} ms", ms(*at))).collect();
+            f.found(true, t.finals[1].0, format!("{name} got {}", all.join(" and ")));
+        }
+        let killed = seen.killed.get(&who).is_some_and(|at| *at <= due + SLACK);
+        match t.finals.first() {
+            // What is read late proves nothing; what came after the client's end is sure.
+            Some((at, earliest, _)) if *earliest > due && !t.reads_slowly => {
+                let sure = !seen.was_disturbed(Some(who), t.sent, *at);
+                f.found(
+                    sure,
+                    *at,
+                    format!(
+                        "{name}, sent at {} ms, was answered {} ms after its client timeout",
+                        ms(t.sent),
+                        ms(earliest - due)
+                    ),
+                );
+            }
+            Some(_) => {}
+            None if t.hung_up || t.cut_off.is_some_and(|at| killed && at <= due + SLACK) || killed => {}
+            None => {
+                let sure = !seen.was_disturbed(
+                    Some(who),
+                    due.saturating_sub(t.timeout / 4 + DISTURBED),
+                    due + DISTURBED,
+                ) && !t.reads_slowly;
+                let how = if t.cut_off.is_some() { "was cut off" } else { "got no answer" };
+                f.found(
+                    sure,
+                    due,
+                    format!("{name}, sent at {} ms with {} ms to go, {how}", ms(t.sent), ms(t.timeout)),
+                );
+            }
+        }
+    }
+    f
+}
+
+fn no_double_effect(seen: &Seen, stated: &Stated) -> Findings {
+    let mut f = Findings::default();
+    let trigger = |name: &str| stated.triggers.iter().find(|t| t.name == name);
+    let place = |invoker: u32| stated.places.iter().find(|p| p.invoker == invoker);
+    for (of, t) in &seen.tries {
+        let Some(terms) = trigger(&t.trigger).filter(|t| t.effect != "idempotent") else { continue };
+        f.looked_at += 1;
+        let runs = seen.runs.get(&of.n).map(Vec::as_slice).unwrap_or_default();
+        if of.attempt == 0 && runs.len() > 1 {
+            let all: Vec<String> = runs
+                .iter()
+                .map(|(at, invoker, of)| format!("invoker {invoker} at {} ms (try {})", ms(*at), of.attempt))
+                .collect();
+            f.found(
+                true,
+                runs[1].0,
+                format!("{} invocation {} took effect at {}", terms.effect, of.n, all.join(" and ")),
+            );
+        }
+        let ran = runs.iter().find(|(.., by)| by == of);
+        let throttled = t.finals.iter().find(|(.., how)| *how == How::Throttled);
+        if let (Some((ran, invoker, _)), Some((at, ..))) = (ran, throttled)
+            && (terms.effect == "non-idempotent" || terms.scope != "all")
+        {
+            let text = format!(
+                "{} invocation {}.{} ran on invoker {invoker} at {} ms and was throttled",
+                terms.effect,
+                of.n,
+                of.attempt,
+                ms(*ran)
+            );
+            f.found(true, *at, text);
+        }
+    }
+    for ((who, invocation), all) in &seen.dispatches {
+        for (i, later) in all.iter().enumerate().skip(1) {
+            f.looked_at += 1;
+            let Some(terms) = trigger(&later.trigger) else { continue };
+            for earlier in &all[..i] {
+                let name = format!(
+                    "invocation {}.{} (number {invocation} of controller {}): dispatch {} came to invoker {} at {} ms",
+                    later.of.n,
+                    later.of.attempt,
+                    who.controller,
+                    later.hop,
+                    later.invoker,
+                    ms(later.at)
+                );
+                let before = format!(
+                    "dispatch {} had come to invoker {} at {} ms",
+                    earlier.hop,
+                    earlier.invoker,
+                    ms(earlier.at)
+                );
+                let ended = earlier.ended.as_ref().filter(|(at, _, told)| *told && *at <= later.at);
+                let never_ran = ended.is_some_and(|(_, how, _)| how == "full" || how == "miss");
+                let sure = !seen.was_disturbed(Some(*who), earlier.at, later.at);
+                if !never_ran && terms.effect == "non-idempotent" {
+                    f.found(true, later.at, format!("non-idempotent {name}, though {before}"));
+                }
+                if !never_ran && terms.effect == "tokened" {
+                    let group = |w: u32| {
+                        place(w).map(|p| match terms.scope.as_str() {
+                            "all" => (0, 0),
+                            "zone" => (p.zone, 0),
+                            _ => (p.zone, p.cell),
+                        })
+                    };
+                    if group(earlier.invoker) != group(later.invoker) {
+                        f.found(
+                            true,
+                            later.at,
+                            format!("tokened {name}, outside the {} where {before}", terms.scope),
+                        );
+                    }
+                    if later.earliest > earlier.at + terms.repeat_window + SLACK {
+                        f.found(
+                            sure,
+                            later.at,
+                            format!("tokened {name}, past the repeat window since {before}"),
+                        );
+                    }
+                }
+                // An answer on the same link after the later dispatch came, and no cancel: it was still out.
+                let still_out =
+                    earlier.ended.as_ref().is_some_and(|(at, _, told)| *told && *at > later.at + SLACK);
+                if still_out && !earlier.cancelled && !stated.parallel_dispatches {
+                    f.found(sure, later.at, format!("{name}, while {before} and was still out"));
+                }
+            }
+        }
+    }
+    f
+}
+
+fn drains(seen: &Seen, stated: &Stated) -> Findings {
+    let mut f = Findings::default();
+    let dispatches = seen.dispatches.iter().flat_map(|((who, inv), all)| {
+        all.iter().map(move |d| {
+            (d.at, d.earliest, d.invoker, *who, format!("dispatch {} of invocation {inv}", d.hop))
+        })
+    });
+    let orders = seen.orders.iter().map(|(at, earliest, invoker, who, function)| {
+        (*at, *earliest, *invoker, *who, format!("an order to load {function:x}"))
+    });
+    for (at, earliest, invoker, who, what) in dispatches.chain(orders) {
+        f.looked_at += 1;
+        let told = seen.told.get(&(who, invoker)).map(Vec::as_slice).unwrap_or_default();
+        // The latest news that was older than the grace when this came, and nothing better since.
+        let old = told.iter().rposition(|(t, ..)| t + stated.drain_grace + SLACK < earliest);
+        let Some(old) = old else { continue };
+        let better = told[old..].iter().any(|(t, ready, _)| *ready && *t <= at);
+        if !better {
+            // The first of an unbroken run of bad news counts: it was told then.
+            let first = told[..=old].iter().rposition(|(_, ready, _)| *ready).map_or(0, |r| r + 1);
+            let (t, _, life) = &told[first];
+            let sure = !seen.was_disturbed(Some(who), *t, at);
+            let late = ms(earliest.saturating_sub(*t));
+            f.found(sure, at, format!("{what} of controller {} came to invoker {invoker} at {} ms, {late} ms after the controller was told it was {life}", who.controller, ms(at)));
+        }
+    }
+    f
+}
+
+fn cold(seen: &Seen, stated: &Stated) -> Findings {
+    let mut f = Findings::default();
+    let mean = |trigger: &str| seen.work.get(trigger).map_or(0.0, |(sum, n)| sum / n.max(1.0));
+    let mut sent: BTreeMap<u32, Vec<(Tenths, f64)>> = BTreeMap::new();
+    for d in seen.dispatches.values().flatten() {
+        sent.entry(d.invoker).or_default().push((d.at, mean(&d.trigger)));
+    }
+    sent.values_mut().for_each(|all| all.sort_by_key(|(at, _)| *at));
+    for (invoker, lives) in &seen.lives {
+        let pace = stated.places.iter().find(|p| p.invoker == *invoker).map_or(1.0, |p| p.pace);
+        for (n, (start, up, is_cold)) in lives.iter().enumerate() {
+            if !up || !is_cold {
+                continue;
+            }
+            let end = lives[n + 1..]
+                .iter()
+                .find(|l| !l.1)
+                .map_or(Tenths::MAX, |l| l.0)
+                .min(start + stated.cold_time);
+            let all = sent.get(invoker).map(Vec::as_slice).unwrap_or_default();
+            let life: Vec<(Tenths, f64)> =
+                all.iter().filter(|(at, _)| at >= start && *at < end).copied().collect();
+            for (i, (at, work)) in life.iter().enumerate() {
+                f.looked_at += 1;
+                let from = at.saturating_sub(stated.tip_window);
+                let sum: f64 = life[..=i].iter().filter(|(t, _)| *t > from).map(|(_, w)| w).sum();
+                let age = (at - start) as f64 / stated.cold_time.max(1) as f64;
+                let risen = (stated.cold_share + (1.0 - stated.cold_share) * age).min(1.0);
+                let bound = stated.tip_factor * risen * pace * stated.tip_window as f64;
+                if sum > bound * (1.0 + COLD_SLACK) + COLD_SLACK_INVS * work {
+                    let sure = !seen.was_disturbed(None, from, *at);
+                    f.found(sure, *at, format!("invoker {invoker}, up since {} ms, was sent {} ms of work within {} ms up to {} ms; {} ms would be its bound", ms(*start), ms(sum as Tenths), ms(stated.tip_window), ms(*at), ms(bound as Tenths)));
+                }
+            }
+        }
+    }
+    f
+}
+
+fn ration(seen: &Seen, stated: &Stated) -> Findings {
+    let mut f = Findings::default();
+    if stated.order_window == 0 {
+        return f;
+    }
+    let all: BTreeSet<Who> = seen.orders.iter().map(|o| o.3).collect();
+    for who in all {
+        let mut orders: Vec<(Tenths, Tenths)> =
+            seen.orders.iter().filter(|o| o.3 == who).map(|o| (o.1, o.0)).collect();
+        orders.sort_unstable();
+        let mut sent: Vec<Tenths> =
+            seen.tries.values().filter(|t| t.who == Some(who)).map(|t| t.sent).collect();
+        sent.sort_unstable();
+        for (i, (earliest, at)) in orders.iter().enumerate() {
+            f.looked_at += 1;
+            // Those that surely were within one window, against all that may have been taken within it.
+            let within = orders[..=i].iter().filter(|(e, _)| e + stated.order_window > *at + SLACK).count();
+            let from = earliest.saturating_sub(stated.order_window + SLACK);
+            let taken = sent.partition_point(|t| *t <= at + SLACK) - sent.partition_point(|t| *t < from);
+            let most = stated.orders_free + stated.orders_share * taken as f64;
+            if within as f64 > most + 1e-9 {
+                let sure = !seen.was_disturbed(Some(who), from, *at);
+                f.found(sure, *at, format!("controller {} sent {within} orders to load within {} ms up to {} ms, with {taken} invocations taken: {most:.1} are allowed", who.controller, ms(stated.order_window), ms(*at)));
+            }
+        }
+    }
+    f
+}
--- /dev/null
+++ b/crates/day/src/clients.rs
@@ -0,0 +1,266 @@
+//! Clients that wait for answers, hang up, read late, try again, as the script says.
+
+use crate::script::Day;
+use crate::traffic::Arrival;
+use bytes::{Bytes, BytesMut};
+use saltdrum::port::{Effect, MILLI, Scope, Tenths};
+use saltdrum_link::{Address, Clock, Network, Outbox, Read, Turns, halves};
+use saltdrum_protocol::rpc;
+use saltdrum_standin::record::{How, Line, Record, Try, Who};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::oneshot;
+
+/// The answer, or none when the connection broke first.
+type Waiting = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Told>>>>;
+
+#[derive(Clone, Copy)]
+struct Told {
+    how: How,
+    come_back: Tenths,
+}
+
+/// A connection to one controller's life.
+#[derive(Clone)]
+struct Connection {
+    who: Who,
+    outbox: Outbox,
+    waiting: Waiting,
+    open: Rc<Cell<bool>>,
+}
+
+pub(crate) struct Clients {
+    pub day: Rc<Day>,
+    pub network: Rc<dyn Network>,
+    pub clock: Clock,
+    pub turns: Turns,
+    pub record: Record,
+    /// Where controllers take clients in: its life, its address, and whether the front door still sends there.
+    pub fronts: RefCell<Vec<(Who, Address, bool)>>,
+    lines: RefCell<BTreeMap<(u32, u32), Connection>>,
+    next: Cell<usize>,
+}
+
+fn id_of(of: Try) -> u64 {
+    of.n * 16 + u64::from(of.attempt)
+}
+
+impl Clients {
+    pub fn new(
+        day: Rc<Day>,
+        network: Rc<dyn Network>,
+        clock: Clock,
+        turns: Turns,
+        record: Record,
+    ) -> Rc<Self> {
+        let (fronts, lines, next) = Default::default();
+        Rc::new(Self { day, network, clock, turns, record, fronts, lines, next })
+    }
+
+    fn next_front(&self) -> Option<(Who, Address)> {
+        let fronts = self.fronts.borrow();
+        for _ in 0..fronts.len() {
+            self.next.set(self.next.get() + 1);
+            let (who, address, open) = &fronts[self.next.get() % fronts.len()];
+            if *open {
+                return Some((*who, address.clone()));
+            }
+        }
+        None
+    }
+
+    /// One invocation with all its tries.
+    pub async fn invoke(self: Rc<Self>, n: u64, a: Arrival) {
+        let terms = &self.day.terms;
+        let function = &terms.functions[&a.function];
+        let stated = &terms.deployment.trigger_types[function.trigger];
+        let first = self.clock.now();
+        for attempt in 0..=self.day.retries {
+            let of = Try { n, attempt };
+            let mut rng = fastrand::Rng::with_seed(self.day.seed ^ id_of(of));
+            let backoff = self.day.backoff << attempt.min(6);
+            let mut wait = backoff / 2 + rng.u64(0..=backoff);
+            match self.one_try(of, &a, stated.client_timeout).await {
+                Err(()) => {}
+                Ok(None) => match stated.effect {
+                    Effect::Idempotent => {}
+                    // Repeats are dropped by all only where all know the token, and for as long as they do.
+                    Effect::Tokened if stated.scope == Scope::All => {
+                        if self.clock.now() + wait > first + stated.repeat_window / 2 {
+                            return;
+                        }
+                    }
+                    _ => return,
+                },
+                Ok(Some(told)) => match (told.how, stated.effect) {
+                    (How::Succeeded, _) => return,
+                    (How::Throttled, _) => wait = wait.max(told.come_back),
+                    (How::Errored, Effect::Idempotent) => {}
+                    (How::Errored, _) => return,
+                },
+            }
+            tokio::time::sleep(Duration::from_micros(wait * 100)).await;
+        }
+    }
+
+    /// Err: nothing was sent. None: sent, and not answered.
+    async fn one_try(self: &Rc<Self>, of: Try, a: &Arrival, timeout: Tenths) -> Result<Option<Told>, ()> {
+        let (who, address) = self.next_front().ok_or(())?;
+        let alone = a.hangs_up.is_some() || a.reads_late.is_some();
+        let line = if alone {
+            self.connect(who, &address, a.reads_late).await?
+        } else {
+            let key = (who.controller, self.next.get() as u32 / 7 % self.day.connections);
+            let open = self.lines.borrow().get(&key).filter(|l| l.open.get() && l.who == who).cloned();
+            match open {
+                Some(line) => line,
+                None => {
+                    let line = self.connect(who, &address, None).await?;
+                    self.lines.borrow_mut().insert(key, line.clone());
+                    line
+                }
+            }
+        };
+        let function = &self.day.terms.functions[&a.function];
+        let trigger = &self.day.terms.trigger_names[function.trigger];
+        let stated = &self.day.terms.deployment.trigger_types[function.trigger];
+        let tenant = &self.day.terms.tenant_names[a.tenant];
+        let token = (stated.effect == Effect::Tokened).then(|| format!("token-{}", of.n));
+        let input = json!({"n": of.n, "attempt": of.attempt, "work_ms": a.work as f64 / MILLI as f64});
+        let mut call = json!({
+            "jsonrpc": "2.0", "id": id_of(of), "method": "invoke",
+            "params": {"function": a.function, "tenant": tenant, "trigger": trigger, "input": input,
+                "time_left_ms": timeout as f64 / MILLI as f64},
+        });
+        if let Some(token) = token {
+            call["params"]["token"] = token.into();
+        }
+        let (to, answer) = oneshot::channel();
+        line.waiting.borrow_mut().insert(id_of(of), to);
+        let at = self.clock.now();
+        if line.outbox.put(Bytes::from(format!("{call}\n")), at + timeout).is_none() {
+            return Err(());
+        }
+        self.record.note(Line::Sent {
+            at,
+            who,
+            of,
+            tenant: tenant.clone(),
+            trigger: trigger.clone(),
+            function: a.function.clone(),
+            timeout,
+            work: a.work,
+        });
+        if a.reads_late.is_some() {
+            self.record.note(Line::ReadsSlowly { at, of });
+        }
+        if let Some(after) = a.hangs_up {
+            tokio::time::sleep(Duration::from_micros(after * 100)).await;
+            let answered = !line.waiting.borrow().contains_key(&id_of(of));
+            if !answered {
+                self.record.note(Line::HungUp { at: self.clock.now(), of });
+            }
+            line.outbox.close();
+            // Whoever hangs up does not come back.
+            std::future::pending::<()>().await;
+        }
+        let patience = Duration::from_micros((timeout + a.reads_late.unwrap_or(0)) * 100);
+        let told = match tokio::time::timeout(patience, answer).await {
+            Ok(Ok(told)) => Some(told),
+            Ok(Err(_)) | Err(_) => None,
+        };
+        if alone {
+            line.outbox.close();
+        }
+        Ok(told)
+    }
+
+    async fn connect(
+        self: &Rc<Self>,
+        who: Who,
+        address: &Address,
+        late: Option<Tenths>,
+    ) -> Result<Connection, ()> {
+        let stream = self.network.dial(address).await.map_err(|_| ())?;
+        let (input, mut output) = halves(stream);
+        let (outbox, waiting) = (Outbox::new(64 << 20), Waiting::default());
+        let open = Rc::new(Cell::new(true));
+        let line = Connection { who, outbox: outbox.clone(), waiting: waiting.clone(), open: open.clone() };
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let clock = this.clock;
+            let mut read = Read::new(input, clock, this.turns.clone());
+            let said_goodbye = tokio::select! {
+                () = this.listen(&mut read, &waiting, late) => false,
+                done = outbox.write_to(&mut output, || clock.now(), |_| ()) => done.is_ok(),
+            };
+            open.set(false);
+            outbox.close();
+            let left = std::mem::take(&mut *waiting.borrow_mut());
+            if !said_goodbye {
+                for id in left.keys() {
+                    let of = Try { n: id / 16, attempt: (id % 16) as u32 };
+                    this.record.note(Line::CutOff { at: clock.now(), of });
+                }
+            }
+        });
+        Ok(line)
+    }
+
+    async fn listen(&self, read: &mut Read<saltdrum_link::Half>, waiting: &Waiting, late: Option<Tenths>) {
+        if let Some(late) = late {
+            tokio::time::sleep(Duration::from_micros(late * 100)).await;
+        }
+        while let Ok(Some(earliest)) = read.more().await {
+            while let Some(end) = read.bytes.iter().position(|b| *b == b'\n') {
+                let line = read.bytes.split_to(end + 1);
+                self.hear(&line, earliest, waiting);
+            }
+        }
+    }
+
+    fn hear(&self, line: &BytesMut, earliest: Tenths, waiting: &Waiting) {
+        let Ok(reply) = serde_json::from_slice::<rpc::Reply>(line) else { return };
+        let Ok(id) = reply.id.get().parse::<u64>() else { return };
+        let how = match &reply.error {
+            None => How::Succeeded,
+            Some(e) if e.code == rpc::THROTTLED => How::Throttled,
+            Some(_) => How::Errored,
+        };
+        let come_back = reply.error.as_ref().and_then(|e| e.data.get("come_back_ms")?.as_u64());
+        let come_back = come_back.unwrap_or(0) * MILLI;
+        let of = Try { n: id / 16, attempt: (id % 16) as u32 };
+        self.record.note(Line::Final { at: self.clock.now(), earliest, of, how });
+        if let Some(to) = waiting.borrow_mut().remove(&id) {
+            let _ = to.send(Told { how, come_back });
+        }
+    }
+
+    /// Lines that no client should write; the connection they come on is the only one to suffer.
+    pub async fn talk_nonsense(&self) {
+        let Some((_, address)) = self.next_front() else { return };
+        let nonsense: [&[u8]; 6] = [
+            b"{\"jsonrpc\":\"2.0\",\"method\":\"invoke\",\"id\":1,\"params\":{\"function\":3}}\n",
+            b"{\"jsonrpc\":\"2.0\",\"method\":\"fly\",\"id\":2}\n",
+            b"[[[[\n",
+            b"\xff\xfe\n",
+            b"{\"jsonrpc\":\"2.0\",\"method\":\"invoke\",\"id\":3,\"par",
+            &[b'x'; 100_000],
+        ];
+        for bytes in nonsense {
+            let Ok(mut stream) = self.network.dial(&address).await else { return };
+            if bytes.len() > 90_000 {
+                for _ in 0..12 {
+                    let _ = stream.write_all(bytes).await;
+                }
+            } else {
+                let _ = stream.write_all(bytes).await;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,25 @@
+//! Scripted days: a deployment, its load and its troubles, played on the real controller and judged by the records.
+//!
+//! `script` reads a day, `traffic` draws its load, `clients` sends it, `stage` puts everything up and brings the
+//! troubles, `check` judges the five rules and `summary` tells what came of it. `check` and `summary` know records
+//! only: nothing of the module, the controller or the script.
+
+pub mod check;
+mod clients;
+pub mod script;
+mod stage;
+pub mod summary;
+pub mod traffic;
+
+pub use check::{Finding, State, Verdict};
+pub use script::Day;
+pub use stage::{Cast, play, play_on_sockets, play_virtually};
+
+/// Days that come with the program, by name.
+pub const DAYS: &[(&str, &str)] = &[
+    ("bad-day", include_str!("../days/bad-day.star")),
+    ("most-of-a-fleet-goes", include_str!("../days/most-of-a-fleet-goes.star")),
+    ("one-tenant-floods", include_str!("../days/one-tenant-floods.star")),
+    ("misses-burn-tries", include_str!("../days/misses-burn-tries.star")),
+    ("answers-lost", include_str!("../days/answers-lost.star")),
+];
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,336 @@
+//! A day as its script states it.
+
+use saltdrum::port::Tenths;
+use saltdrum_deployment::units::Span;
+use saltdrum_deployment::{Fault, Statement, Terms, script};
+use serde::Deserialize;
+
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub name: String,
+    pub terms: Terms,
+    pub length: Tenths,
+    pub seed: u64,
+    /// Connections that clients keep to each controller.
+    pub connections: u32,
+    /// Further tries of a client.
+    pub retries: u32,
+    pub backoff: Tenths,
+    /// So late is the list with what happens.
+    pub list_notice: Tenths,
+    pub store_limit: usize,
+    pub traffic: Vec<Traffic>,
+    pub troubles: Vec<Trouble>,
+}
+
+/// Load of one tenant.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    pub tenant: usize,
+    /// Names; the first is called most.
+    pub functions: Vec<String>,
+    pub zipf: f64,
+    pub per_second: f64,
+    /// So many together instead, at `from`.
+    pub at_once: u32,
+    pub work: Tenths,
+    /// Standard deviation of work over its mean.
+    pub spread: f64,
+    pub from: Tenths,
+    pub to: Tenths,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Crash,
+    Slow,
+    Hang,
+    FastErrors,
+    LateReports,
+    HotFunction,
+    HeavyTail,
+    ZoneCut,
+    Deploy,
+    ControllerCrash,
+    ControllerRoll,
+    ControllerStall,
+    StoreSlow,
+    StoreRefuses,
+    Flush,
+    RefusedForRoom,
+    Ageing,
+    AnswersLost,
+    ClientHangUps,
+    SlowReaders,
+    StuckSockets,
+    HalfFrames,
+    BadInput,
+    ListLost,
+}
+
+const KINDS: &[(&str, Kind)] = &[
+    ("crash", Kind::Crash),
+    ("slow", Kind::Slow),
+    ("hang", Kind::Hang),
+    ("fast_errors", Kind::FastErrors),
+    ("late_reports", Kind::LateReports),
+    ("hot_function", Kind::HotFunction),
+    ("heavy_tail", Kind::HeavyTail),
+    ("zone_cut", Kind::ZoneCut),
+    ("deploy", Kind::Deploy),
+    ("controller_crash", Kind::ControllerCrash),
+    ("controller_roll", Kind::ControllerRoll),
+    ("controller_stall", Kind::ControllerStall),
+    ("store_slow", Kind::StoreSlow),
+    ("store_refuses", Kind::StoreRefuses),
+    ("flush", Kind::Flush),
+    ("refused_for_room", Kind::RefusedForRoom),
+    ("ageing", Kind::Ageing),
+    ("answers_lost", Kind::AnswersLost),
+    ("client_hang_ups", Kind::ClientHangUps),
+    ("slow_readers", Kind::SlowReaders),
+    ("stuck_sockets", Kind::StuckSockets),
+    ("half_frames", Kind::HalfFrames),
+    ("bad_input", Kind::BadInput),
+    ("list_lost", Kind::ListLost),
+];
+
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub kind: Kind,
+    pub name: &'static str,
+    pub at: Tenths,
+    pub lasts: Tenths,
+    /// Struck invokers.
+    pub invokers: Vec<u32>,
+    /// Struck controllers.
+    pub controllers: Vec<u32>,
+    pub zone: Option<u8>,
+    pub tenant: Option<String>,
+    pub functions: Vec<String>,
+    /// Share of what it strikes: dispatches, answers, functions, invocations.
+    pub part: f64,
+    /// How many times slower, or more work.
+    pub times: f64,
+    pub delay: Tenths,
+    /// Struck at a time, in a deploy or a roll.
+    pub batch: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidDay {
+    name: String,
+    length: Span,
+    #[serde(default)]
+    seed: u64,
+    #[serde(default = "four")]
+    connections: u32,
+    #[serde(default)]
+    retries: u32,
+    #[serde(default = "backoff")]
+    backoff: Span,
+    #[serde(default = "notice")]
+    list_notice: Span,
+    #[serde(default = "limit")]
+    store_limit: usize,
+}
+
+fn four() -> u32 {
+    4
+}
+fn backoff() -> Span {
+    Span(1_000)
+}
+fn notice() -> Span {
+    Span(3_000)
+}
+fn limit() -> usize {
+    24
+}
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidTraffic {
+    tenant: String,
+    functions: Vec<String>,
+    #[serde(default = "one")]
+    zipf: f64,
+    #[serde(default)]
+    per_second: f64,
+    #[serde(default)]
+    at_once: u32,
+    work: Span,
+    #[serde(default = "one")]
+    spread: f64,
+    #[serde(default)]
+    begin: Span,
+    end: Option<Span>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidTrouble {
+    name: String,
+    at: Span,
+    lasts: Option<Span>,
+    invokers: Option<Vec<u32>>,
+    controllers: Option<Vec<u32>>,
+    zone: Option<String>,
+    tenant: Option<String>,
+    #[serde(default)]
+    functions: Vec<String>,
+    part: Option<f64>,
+    times: Option<f64>,
+    delay: Option<Span>,
+    #[serde(default = "batch")]
+    batch: usize,
+}
+
+fn batch() -> usize {
+    1
+}
+
+fn known(s: &Statement, terms: &Terms, functions: &[String]) -> Result<(), Fault> {
+    match functions.iter().find(|f| !terms.functions.contains_key(*f)) {
+        Some(f) => Err(s.fault(format!("no function is named '{f}'"))),
+        None => Ok(()),
+    }
+}
+
+impl Day {
+    /// Reads a script's text; `file` is its name in faults.
+    pub fn load(file: &str, text: &str) -> Result<Self, Fault> {
+        let (terms, rest) = Terms::load(file, text)?;
+        let at = |why: &str| Fault { place: script::Place { file: file.into(), line: 1 }, why: why.into() };
+        let mut days = rest.iter().filter(|s| s.what == "day");
+        let stated = days.next().ok_or_else(|| at("no day(...) is stated"))?;
+        if let Some(second) = days.next() {
+            return Err(second.fault("stated a second time"));
+        }
+        let said: SaidDay = stated.read()?;
+        if terms.invokers.is_empty() {
+            return Err(at("no invokers(...) are stated"));
+        }
+        let mut day = Self {
+            name: said.name,
+            length: said.length.0,
+            seed: said.seed,
+            connections: said.connections.max(1),
+            retries: said.retries,
+            backoff: said.backoff.0,
+            list_notice: said.list_notice.0,
+            store_limit: said.store_limit,
+            traffic: Vec::new(),
+            troubles: Vec::new(),
+            terms,
+        };
+        for s in rest.iter().filter(|s| s.what == "traffic") {
+            let traffic = day.one_traffic(s)?;
+            day.traffic.push(traffic);
+        }
+        for s in rest.iter().filter(|s| s.what == "trouble") {
+            let trouble = day.one_trouble(s)?;
+            day.troubles.push(trouble);
+        }
+        day.troubles.sort_by_key(|t| t.at);
+        if day.traffic.is_empty() { Err(at("no traffic(...) is stated")) } else { Ok(day) }
+    }
+
+    fn one_traffic(&self, s: &Statement) -> Result<Traffic, Fault> {
+        let said: SaidTraffic = s.read()?;
+        let tenant = self.terms.tenant_names.iter().position(|t| *t == said.tenant);
+        let tenant = tenant.ok_or_else(|| s.fault(format!("no tenant is named '{}'", said.tenant)))?;
+        known(s, &self.terms, &said.functions)?;
+        if said.functions.is_empty() || (said.per_second <= 0.0) == (said.at_once == 0) {
+            return Err(s.fault("functions and either per_second or at_once are expected"));
+        }
+        Ok(Traffic {
+            tenant,
+            functions: said.functions,
+            zipf: said.zipf,
+            per_second: said.per_second,
+            at_once: said.at_once,
+            work: said.work.0,
+            spread: said.spread,
+            from: said.begin.0,
+            to: said.end.map_or(self.length, |t| t.0.min(self.length)),
+        })
+    }
+
+    fn one_trouble(&self, s: &Statement) -> Result<Trouble, Fault> {
+        let said: SaidTrouble = s.read()?;
+        let known_kind = KINDS.iter().find(|(name, _)| *name == said.name);
+        let (name, kind) = *known_kind.ok_or_else(|| {
+            let all: Vec<&str> = KINDS.iter().map(|k| k.0).collect();
+            s.fault(format!("'{}' is no trouble; known are {}", said.name, all.join(", ")))
+        })?;
+        known(s, &self.terms, &said.functions)?;
+        let need = |what: &str| s.fault(format!("{name}: {what} is expected"));
+        if !matches!(kind, Kind::Flush | Kind::BadInput | Kind::Deploy) && said.lasts.is_none() {
+            return Err(need("lasts"));
+        }
+        // Those that strike all where none are named would end the day.
+        let strikes_invokers = matches!(
+            kind,
+            Kind::Crash | Kind::Slow | Kind::Hang | Kind::Ageing | Kind::StuckSockets | Kind::HalfFrames
+        );
+        let strikes_controllers =
+            matches!(kind, Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall);
+        if strikes_invokers && said.invokers.is_none() {
+            return Err(need("invokers = [...]"));
+        }
+        if strikes_controllers && said.controllers.is_none() {
+            return Err(need("controllers = [...]"));
+        }
+        if matches!(kind, Kind::Slow | Kind::StoreSlow | Kind::HeavyTail) && said.times.is_none() {
+            return Err(need("times"));
+        }
+        if kind == Kind::HotFunction && said.functions.is_empty() {
+            return Err(need("functions = [...]"));
+        }
+        if kind == Kind::RefusedForRoom && said.tenant.is_none() {
+            return Err(need("tenant"));
+        }
+        if let Some(tenant) = said.tenant.iter().find(|t| !self.terms.tenant_names.contains(t)) {
+            return Err(s.fault(format!("no tenant is named '{tenant}'")));
+        }
+        let zone = match &said.zone {
+            Some(zone) => {
+                let at = self.terms.zones.iter().position(|z| z == zone);
+                Some(at.ok_or_else(|| s.fault(format!("no zone is named '{zone}'")))? as u8)
+            }
+            None if kind == Kind::ZoneCut => return Err(need("zone")),
+            None => None,
+        };
+        let most = self.terms.invokers.len() as u32;
+        let all: Vec<u32> = (1..=most).collect();
+        let invokers = said.invokers.unwrap_or(all);
+        if let Some(bad) = invokers.iter().find(|i| !(1..=most).contains(i)) {
+            return Err(s.fault(format!("invoker {bad}: 1 to {most} are stated")));
+        }
+        let controllers = said.controllers.unwrap_or_default();
+        let most = self.terms.deployment.controllers;
+        if let Some(bad) = controllers.iter().find(|c| !(1..=most).contains(c)) {
+            return Err(s.fault(format!("controller {bad}: 1 to {most} are stated")));
+        }
+        Ok(Trouble {
+            kind,
+            name,
+            at: said.at.0,
+            lasts: said.lasts.unwrap_or_default().0,
+            invokers,
+            controllers,
+            zone,
+            tenant: said.tenant,
+            functions: said.functions,
+            part: said.part.unwrap_or(1.0),
+            times: said.times.unwrap_or(1.0),
+            delay: said.delay.unwrap_or_default().0,
+            batch: said.batch.max(1),
+        })
+    }
+}
--- /dev/null
+++ b/crates/day/src/stage.rs
@@ -0,0 +1,493 @@
+//! Puts a day up: stand-ins and clients on one thread, controllers on threads of their own or, in virtual time, all on
+//! one. Brings the troubles when their time comes.
+
+use crate::clients::Clients;
+use crate::script::{Day, Kind, Trouble};
+use crate::traffic;
+use saltdrum::port::{Effect, SECOND, Scope, Tenths};
+use saltdrum_controller::{Seat, serve};
+use saltdrum_deployment::Terms;
+use saltdrum_link::{Address, Clock, Memory, Network, Sockets, Turns, turning};
+use saltdrum_protocol::list::Life;
+use saltdrum_standin::invoker::{Site, Tokens};
+use saltdrum_standin::record::{self, Line, Record, Who};
+use saltdrum_standin::{Invoker, List, Store};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, LocalSet};
+use tracing::{info, warn};
+
+/// Where controllers sit, and so how they are killed and stopped.
+pub enum Cast {
+    /// Each on a thread of its own, on the machine's sockets; files for sockets go into the folder.
+    Threads(std::path::PathBuf),
+    /// All on this thread, on in-memory streams.
+    Virtual,
+}
+
+enum Chair {
+    Thread { stop: mpsc::UnboundedSender<Duration>, thread: std::thread::JoinHandle<Vec<Line>> },
+    Task(JoinHandle<()>),
+}
+
+struct Stage {
+    day: Rc<Day>,
+    cast: Cast,
+    network: Rc<dyn Network>,
+    clock: Clock,
+    record: Record,
+    start: Tenths,
+    invokers: BTreeMap<u32, Rc<Invoker>>,
+    store: Rc<Store>,
+    list: Rc<List>,
+    list_address: Address,
+    clients: Rc<Clients>,
+    chairs: RefCell<BTreeMap<u32, Chair>>,
+    lives: RefCell<BTreeMap<u32, u64>>,
+    ended: RefCell<Vec<std::thread::JoinHandle<Vec<Line>>>>,
+}
+
+/// Plays a day on the machine's sockets.
+pub fn play_on_sockets(day: &Day, folder: &Path) -> io::Result<Vec<Line>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let cast = Cast::Threads(folder.to_owned());
+    LocalSet::new().block_on(&runtime, play(day.clone(), cast, Rc::new(Sockets)))
+}
+
+/// Plays a day in virtual time, on in-memory streams.
+pub fn play_virtually(day: &Day) -> io::Result<Vec<Line>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
+    LocalSet::new().block_on(&runtime, play(day.clone(), Cast::Virtual, Rc::new(Memory::default())))
+}
+
+fn stated(terms: &Terms) -> record::Stated {
+    let d = &terms.deployment;
+    let trigger = |(t, name): (&saltdrum::port::TriggerType, &String)| record::Trigger {
+        name: name.clone(),
+        effect: match t.effect {
+            Effect::Idempotent => "idempotent",
+            Effect::Tokened => "tokened",
+            Effect::NonIdempotent => "non-idempotent",
+        }
+        .into(),
+        scope: match t.scope {
+            Scope::All => "all",
+            Scope::Zone => "zone",
+            Scope::Cell => "cell",
+        }
+        .into(),
+        repeat_window: t.repeat_window,
+        objective: t.objective,
+        billed_value: t.billed_value,
+    };
+    let place = |i: &saltdrum_deployment::terms::Stated| record::Place {
+        invoker: i.invoker,
+        zone: i.zone,
+        cell: i.cell,
+        pace: f64::from(terms.size(i.kind)),
+    };
+    record::Stated {
+        triggers: d.trigger_types.iter().zip(&terms.trigger_names).map(trigger).collect(),
+        places: terms.invokers.iter().map(place).collect(),
+        parallel_dispatches: d.parallel_dispatches,
+        drain_grace: d.drain_grace,
+        cold_share: d.cold_share,
+        cold_time: d.cold_time,
+        tip_factor: d.tip_factor,
+        tip_window: d.tip_window,
+        order_window: d.order_window,
+        orders_free: d.orders_free,
+        orders_share: d.orders_share,
+    }
+}
+
+/// Plays a day on the `LocalSet` this is called on, and gives the record, in order of time.
+pub async fn play(day: Day, cast: Cast, network: Rc<dyn Network>) -> io::Result<Vec<Line>> {
+    let (clock, record, turns) = (Clock::start(), Record::default(), Turns::default());
+    record.note(Line::Stated(stated(&day.terms)));
+    let noted = record.clone();
+    tokio::task::spawn_local(turning(turns.clone(), clock, move |now, gap| {
+        noted.note(Line::Disturbed { at: now - gap, until: now, thread: "stage".into() });
+    }));
+    let any = |name: &str| match &cast {
+        Cast::Threads(_) => Address::Tcp("127.0.0.1:0".into()),
+        Cast::Virtual => Address::Memory(name.into()),
+    };
+    let (store, store_address) =
+        Store::open(network.clone(), clock, record.clone(), &any("store"), day.store_limit).await?;
+    let (list, list_address) = List::open(network.clone(), clock, record.clone(), &any("list")).await?;
+    let (terms, tokens) = (Rc::new(day.terms.clone()), Tokens::default());
+    let mut invokers = BTreeMap::new();
+    for stated in &day.terms.invokers {
+        let site = Site {
+            terms: terms.clone(),
+            stated: stated.clone(),
+            network: network.clone(),
+            clock,
+            turns: turns.clone(),
+            record: record.clone(),
+            at: RefCell::new(any(&format!("invoker-{}", stated.invoker))),
+            store: Some(store_address.clone()),
+            tokens: tokens.clone(),
+            seed: day.seed ^ (u64::from(stated.invoker) << 32),
+            fetch_share: 0.6,
+        };
+        let invoker = Invoker::new(site);
+        // It has been up for long: some of what is asked for stands already.
+        let all: Vec<u64> = day.terms.functions.values().map(|f| f.id).collect();
+        let first = stated.invoker as usize * 5 % all.len();
+        let held: Vec<u64> = all.iter().cycle().skip(first).take(all.len().div_ceil(2)).copied().collect();
+        invoker.start(false, &held).await?;
+        list.say(invoker.entry(Life::Ready));
+        invokers.insert(stated.invoker, invoker);
+    }
+    let day = Rc::new(day);
+    let clients = Clients::new(day.clone(), network.clone(), clock, turns, record.clone());
+    let stage = Rc::new(Stage {
+        start: clock.now() + SECOND / 2,
+        day,
+        cast,
+        network,
+        clock,
+        record,
+        invokers,
+        store,
+        list,
+        list_address,
+        clients,
+        chairs: RefCell::default(),
+        lives: RefCell::default(),
+        ended: RefCell::default(),
+    });
+    for controller in 1..=stage.day.terms.deployment.controllers {
+        stage.seat(controller)?;
+    }
+    stage.clone().run().await;
+    stage.strike()
+}
+
+impl Stage {
+    fn at(&self, offset: Tenths) -> Tenths {
+        self.start + offset
+    }
+
+    /// Lets a controller begin a new life.
+    fn seat(&self, controller: u32) -> io::Result<()> {
+        let incarnation = self.lives.borrow().get(&controller).map_or(1, |i| i + 1);
+        self.lives.borrow_mut().insert(controller, incarnation);
+        let address = match &self.cast {
+            Cast::Threads(folder) => {
+                let path = folder.join(format!("controller-{controller}-{incarnation}.sock"));
+                Address::Unix(path.to_string_lossy().into_owned())
+            }
+            Cast::Virtual => Address::Memory(format!("controller-{controller}-{incarnation}")),
+        };
+        let zones = self.day.terms.zones.len().max(1) as u32;
+        let seat = move |terms: Terms, clients: Address, list: Address, seed: u64| Seat {
+            controller,
+            incarnation,
+            seed,
+            zone: ((controller - 1) % zones) as u8,
+            clients: vec![clients],
+            list,
+            terms: Rc::new(terms),
+        };
+        let seed = self.day.seed ^ (u64::from(controller) << 40) ^ (incarnation << 56);
+        let (terms, list, clock) = (self.day.terms.clone(), self.list_address.clone(), self.clock);
+        let chair = match &self.cast {
+            Cast::Threads(_) => {
+                let (stop, mut stops) = mpsc::unbounded_channel::<Duration>();
+                let clients = address.clone();
+                let builder = std::thread::Builder::new().name(format!("controller-{controller}"));
+                let thread = builder.spawn(move || {
+                    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+                    let Ok(runtime) = runtime else { return Vec::new() };
+                    let seen = Record::default();
+                    let noted = seen.clone();
+                    let watch = async move {
+                        let thread = format!("controller-{controller}");
+                        turning(Turns::default(), clock, move |now, gap| {
+                            let thread = thread.clone();
+                            noted.note(Line::Disturbed { at: now - gap, until: now, thread });
+                        })
+                        .await;
+                    };
+                    let orders = async {
+                        while let Some(stop) = stops.recv().await {
+                            std::thread::sleep(stop);
+                        }
+                    };
+                    runtime.block_on(async {
+                        tokio::select! {
+                            done = serve(seat(terms, clients, list, seed), Rc::new(Sockets), clock) => {
+                                if let Err(e) = done {
+                                    warn!(controller, %e, "a controller could not serve");
+                                }
+                            }
+                            () = watch => {}
+                            () = orders => {}
+                        }
+                    });
+                    seen.take()
+                })?;
+                Chair::Thread { stop, thread }
+            }
+            Cast::Virtual => {
+                let network = self.network.clone();
+                let seat = seat(terms, address.clone(), list, seed);
+                Chair::Task(tokio::task::spawn_local(async move {
+                    if let Err(e) = serve(seat, network, clock).await {
+                        warn!(controller, %e, "a controller could not serve");
+                    }
+                }))
+            }
+        };
+        self.chairs.borrow_mut().insert(controller, chair);
+        let who = Who { controller, incarnation };
+        self.record.note(Line::Controller { at: self.clock.now(), who, up: true });
+        let mut fronts = self.clients.fronts.borrow_mut();
+        fronts.retain(|(w, ..)| w.controller != controller);
+        fronts.push((who, address, true));
+        fronts.sort_by_key(|(w, ..)| *w);
+        Ok(())
+    }
+
+    /// Ends a controller's life as a kill does: sockets close, nothing is said.
+    fn kill(&self, controller: u32) {
+        let Some(chair) = self.chairs.borrow_mut().remove(&controller) else { return };
+        let who = Who { controller, incarnation: self.lives.borrow()[&controller] };
+        self.record.note(Line::Controller { at: self.clock.now(), who, up: false });
+        match chair {
+            Chair::Thread { stop, thread } => {
+                drop(stop);
+                self.ended.borrow_mut().push(thread);
+            }
+            Chair::Task(task) => task.abort(),
+        }
+        for front in self.clients.fronts.borrow_mut().iter_mut().filter(|f| f.0 == who) {
+            front.2 = false;
+        }
+    }
+
+    fn stall(&self, controller: u32, span: Tenths) {
+        match self.chairs.borrow().get(&controller) {
+            Some(Chair::Thread { stop, .. }) => drop(stop.send(Duration::from_micros(span * 100))),
+            Some(Chair::Task(_)) => warn!(controller, "a stop can't be played in virtual time: left out"),
+            None => {}
+        }
+    }
+
+    async fn run(self: Rc<Self>) {
+        for t in self.day.troubles.clone() {
+            let this = self.clone();
+            tokio::task::spawn_local(async move {
+                this.clock.sleep_until(this.at(t.at)).await;
+                let (at, until) = (this.clock.now(), this.at(t.at + t.lasts));
+                let struck = match t.kind {
+                    Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall => {
+                        format!(" of controllers {:?}", t.controllers)
+                    }
+                    Kind::HotFunction => format!(" {:?}", t.functions),
+                    Kind::RefusedForRoom => format!(" of {}", t.tenant.clone().unwrap_or_default()),
+                    _ if t.invokers.len() < this.invokers.len() => format!(" of invokers {:?}", t.invokers),
+                    _ => String::new(),
+                };
+                let text = format!("{}{struck}", t.name);
+                info!(text, "trouble");
+                this.record.note(Line::Trouble { at, until, text });
+                this.bring(t).await;
+            });
+        }
+        let arrivals = traffic::draw(&self.day);
+        info!(invocations = arrivals.len(), "a day begins");
+        for (n, arrival) in arrivals.into_iter().enumerate() {
+            self.clock.sleep_until(self.at(arrival.at)).await;
+            tokio::task::spawn_local(self.clients.clone().invoke(n as u64 + 1, arrival));
+        }
+        self.clock.sleep_until(self.at(self.day.length)).await;
+        self.record.note(Line::Over { at: self.clock.now() });
+        let longest = self.day.terms.deployment.trigger_types.iter().map(|t| t.client_timeout).max();
+        let tries = u64::from(self.day.retries) + 1;
+        let rest = tries * (longest.unwrap_or(0) + 4 * self.day.backoff) + SECOND;
+        tokio::time::sleep(Duration::from_micros(rest * 100)).await;
+    }
+
+    async fn sleep(&self, span: Tenths) {
+        tokio::time::sleep(Duration::from_micros(span * 100)).await;
+    }
+
+    /// Tells the list, which is late with what it knows.
+    fn list_later(self: &Rc<Self>, invoker: u32, life: Life) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            this.sleep(this.day.list_notice).await;
+            this.list.say(this.invokers[&invoker].entry(life));
+        });
+    }
+
+    async fn restart(self: &Rc<Self>, invoker: u32) {
+        if let Err(e) = self.invokers[&invoker].start(true, &[]).await {
+            warn!(invoker, %e, "an invoker could not come back");
+            return;
+        }
+        self.list_later(invoker, Life::Ready);
+    }
+
+    fn fault(&self, invokers: &[u32], change: impl Fn(&mut saltdrum_standin::Faults)) {
+        invokers.iter().for_each(|i| self.invokers[i].fault(|f, _| change(f)));
+    }
+
+    /// Plays a trouble from its begin to its end.
+    async fn bring(self: &Rc<Self>, t: Trouble) {
+        let struck = || t.invokers.iter().map(|i| &self.invokers[i]);
+        match t.kind {
+            Kind::Crash => {
+                for i in struck().filter(|i| i.is_up()) {
+                    i.crash();
+                    self.list_later(i.site.stated.invoker, Life::Gone);
+                }
+                self.sleep(t.lasts).await;
+                for i in &t.invokers {
+                    self.restart(*i).await;
+                }
+            }
+            Kind::ZoneCut => {
+                let cut: Vec<u32> = self
+                    .invokers
+                    .values()
+                    .filter(|i| Some(i.site.stated.zone) == t.zone)
+                    .map(|i| i.site.stated.invoker)
+                    .collect();
+                self.fault(&cut, |f| (f.stuck, f.hangs) = (true, true));
+                self.sleep(t.lasts).await;
+                self.fault(&cut, |f| (f.stuck, f.hangs) = (false, false));
+            }
+            Kind::Slow => {
+                struck().for_each(|i| i.fault(|_, m| m.slowness = t.times));
+                self.sleep(t.lasts).await;
+                struck().for_each(|i| i.fault(|_, m| m.slowness = 1.0));
+            }
+            Kind::Ageing => {
+                struck().for_each(|i| i.fault(|_, m| m.grow_old(t.times)));
+                self.sleep(t.lasts).await;
+                struck().for_each(|i| i.fault(|_, m| m.grow_old(0.0)));
+            }
+            Kind::Hang => {
+                self.fault(&t.invokers, |f| f.hangs = true);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.hangs = false);
+            }
+            Kind::FastErrors => {
+                self.fault(&t.invokers, |f| f.errors = t.part);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.errors = 0.0);
+            }
+            Kind::LateReports => {
+                self.fault(&t.invokers, |f| f.reports_late = t.delay);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.reports_late = 0);
+            }
+            Kind::AnswersLost => {
+                self.fault(&t.invokers, |f| f.loses_answers = t.part);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.loses_answers = 0.0);
+            }
+            Kind::RefusedForRoom => {
+                let tenant = t.tenant.clone().unwrap_or_default();
+                self.fault(&t.invokers, |f| f.refuses = Some((tenant.clone(), t.part)));
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.refuses = None);
+            }
+            Kind::StuckSockets => {
+                self.fault(&t.invokers, |f| f.stuck = true);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.stuck = false);
+            }
+            Kind::HalfFrames => {
+                self.fault(&t.invokers, |f| f.half_frames = true);
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.half_frames = false);
+            }
+            Kind::Flush => struck().for_each(|i| i.flush(t.part)),
+            Kind::StoreSlow => {
+                self.store.slowness.set(t.times);
+                self.sleep(t.lasts).await;
+                self.store.slowness.set(1.0);
+            }
+            Kind::StoreRefuses => {
+                let limit = self.store.limit.replace(0);
+                self.sleep(t.lasts).await;
+                self.store.limit.set(limit);
+            }
+            Kind::ListLost => {
+                self.list.lose();
+                self.sleep(t.lasts).await;
+                if let Err(e) = self.list.come_back().await {
+                    warn!(%e, "the list could not come back");
+                }
+            }
+            Kind::Deploy => {
+                for batch in t.invokers.chunks(t.batch) {
+                    batch.iter().for_each(|i| self.list.say(self.invokers[i].entry(Life::Draining)));
+                    self.sleep(t.delay.max(SECOND)).await;
+                    for i in batch {
+                        self.invokers[i].crash();
+                        self.list.say(self.invokers[i].entry(Life::Gone));
+                    }
+                    self.sleep(SECOND / 2).await;
+                    for i in batch {
+                        self.restart(*i).await;
+                    }
+                    self.sleep(self.day.list_notice).await;
+                }
+            }
+            Kind::ControllerCrash => {
+                t.controllers.iter().for_each(|c| self.kill(*c));
+                self.sleep(t.lasts).await;
+                t.controllers.iter().for_each(|c| self.reseat(*c));
+            }
+            Kind::ControllerRoll => {
+                for batch in t.controllers.chunks(t.batch) {
+                    batch.iter().for_each(|c| self.kill(*c));
+                    self.sleep(t.lasts).await;
+                    batch.iter().for_each(|c| self.reseat(*c));
+                    self.sleep(SECOND).await;
+                }
+            }
+            Kind::ControllerStall => t.controllers.iter().for_each(|c| self.stall(*c, t.lasts)),
+            Kind::BadInput => self.clients.talk_nonsense().await,
+            // These change what clients send, before the day begins.
+            Kind::HotFunction | Kind::HeavyTail | Kind::ClientHangUps | Kind::SlowReaders => {}
+        }
+    }
+
+    fn reseat(&self, controller: u32) {
+        if let Err(e) = self.seat(controller) {
+            warn!(controller, %e, "a controller could not come back");
+        }
+    }
+
+    /// Ends everything and gathers what was seen.
+    fn strike(&self) -> io::Result<Vec<Line>> {
+        let mut lines = self.record.take();
+        for (_, chair) in std::mem::take(&mut *self.chairs.borrow_mut()) {
+            match chair {
+                Chair::Thread { stop, thread } => {
+                    drop(stop);
+                    self.ended.borrow_mut().push(thread);
+                }
+                Chair::Task(task) => task.abort(),
+            }
+        }
+        for thread in self.ended.borrow_mut().drain(..) {
+            lines.extend(thread.join().map_err(|_| io::Error::other("a controller's thread panicked"))?);
+        }
+        self.invokers.values().filter(|i| i.is_up()).for_each(|i| i.crash());
+        Ok(lines)
+    }
+}
--- /dev/null
+++ b/crates/day/src/summary.rs
@@ -0,0 +1,278 @@
+//! What came of a day: for a person as tables, for a program as JSON. From the record alone.
+
+use crate::check::{State, Verdict};
+use comfy_table::{CellAlignment, Table, presets};
+use hdrhistogram::Histogram;
+use saltdrum::port::{MILLI, Tenths};
+use saltdrum_standin::record::{How, Line, Try};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What came of the invocations of one tenant and trigger type. An invocation counts once, by its last try.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Row {
+    pub tenant: String,
+    pub trigger: String,
+    pub taken: usize,
+    /// Within the latency objective, counted from the first try.
+    pub succeeded: usize,
+    pub late: usize,
+    pub throttled: usize,
+    pub errored: usize,
+    pub hung_up: usize,
+    /// The controller was killed, or stood still, with it in hand.
+    pub lost: usize,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Struck {
+    pub at_ms: f64,
+    pub lasts_ms: f64,
+    pub what: String,
+    /// Invocations that began meanwhile, and the share of them in time.
+    pub invocations: usize,
+    pub in_time: f64,
+}
+
+/// All tries, not invocations: what controllers took and what they answered.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tries {
+    pub sent: usize,
+    pub answered: usize,
+    pub hung_up: usize,
+    pub lost_with_a_killed_controller: usize,
+    pub unanswered: usize,
+    pub dispatches: usize,
+    pub orders_to_load: usize,
+    pub fetches: usize,
+    pub fetches_refused: usize,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    pub day: String,
+    pub rows: Vec<Row>,
+    /// Share in time of invocations that began while no trouble was on.
+    pub in_time_calm: f64,
+    pub in_time: f64,
+    pub troubles: Vec<Struck>,
+    pub tries: Tries,
+    pub rules: Vec<Verdict>,
+}
+
+#[derive(Default)]
+struct One {
+    tenant: String,
+    trigger: String,
+    first: Tenths,
+    last: u32,
+    took: Option<Tenths>,
+    how: Option<How>,
+    hung_up: bool,
+}
+
+fn share(in_time: usize, of: usize) -> f64 {
+    if of == 0 { f64::NAN } else { in_time as f64 / of as f64 }
+}
+
+/// Sums up a record.
+pub fn sum_up(day: &str, lines: &[Line], rules: Vec<Verdict>) -> Summary {
+    let mut all: BTreeMap<u64, One> = BTreeMap::new();
+    let (mut tries, mut objective, mut start) = (Tries::default(), BTreeMap::new(), Tenths::MAX);
+    let mut fates: BTreeMap<Try, u8> = BTreeMap::new();
+    let mut killed = BTreeMap::new();
+    let mut whose = BTreeMap::new();
+    for line in lines {
+        match line {
+            Line::Stated(s) => objective.extend(s.triggers.iter().map(|t| (t.name.clone(), t.objective))),
+            Line::Sent { at, who, of, tenant, trigger, .. } => {
+                start = start.min(*at);
+                tries.sent += 1;
+                fates.entry(*of).or_insert(0);
+                whose.insert(*of, *who);
+                let one = all.entry(of.n).or_default();
+                if one.last == 0 && one.first == 0 {
+                    (one.tenant, one.trigger, one.first) = (tenant.clone(), trigger.clone(), *at);
+                }
+                (one.last, one.how, one.took) = (of.attempt, None, None);
+            }
+            Line::Final { at, of, how, .. } => {
+                fates.insert(*of, 1);
+                let one = all.entry(of.n).or_default();
+                if of.attempt == one.last {
+                    one.how = Some(*how);
+                    one.took = Some(at - one.first.min(*at));
+                }
+            }
+            Line::HungUp { of, .. } => {
+                fates.insert(*of, 2);
+                all.entry(of.n).or_default().hung_up = true;
+            }
+            Line::Controller { at, who, up: false } => drop(killed.insert(*who, *at)),
+            Line::Dispatched { .. } => tries.dispatches += 1,
+            Line::Ordered { count: 1.., .. } => tries.orders_to_load += 1,
+            Line::Fetched { refused, .. } => {
+                tries.fetches += 1;
+                tries.fetches_refused += usize::from(*refused);
+            }
+            _ => {}
+        }
+    }
+    for (of, fate) in &fates {
+        match fate {
+            1 => tries.answered += 1,
+            2 => tries.hung_up += 1,
+            _ if killed.contains_key(&whose[of]) => tries.lost_with_a_killed_controller += 1,
+            _ => tries.unanswered += 1,
+        }
+    }
+    let in_time = |one: &One| {
+        let most = objective.get(&one.trigger).copied().unwrap_or(Tenths::MAX);
+        one.how == Some(How::Succeeded) && one.took.is_some_and(|t| t <= most)
+    };
+    let mut rows: BTreeMap<(String, String), (Row, Histogram<u64>)> = BTreeMap::new();
+    for one in all.values() {
+        let (row, times) = rows.entry((one.tenant.clone(), one.trigger.clone())).or_insert_with(|| {
+            let row = Row { tenant: one.tenant.clone(), trigger: one.trigger.clone(), ..Default::default() };
+            (row, Histogram::new(3).expect("three digits are allowed"))
+        });
+        row.taken += 1;
+        match (one.how, one.hung_up) {
+            (Some(How::Succeeded), _) => {
+                if in_time(one) {
+                    row.succeeded += 1
+                } else {
+                    row.late += 1
+                }
+                *times += one.took.unwrap_or(0).max(1);
+            }
+            (Some(How::Throttled), _) => row.throttled += 1,
+            (Some(How::Errored), _) => row.errored += 1,
+            (None, true) => row.hung_up += 1,
+            (None, false) => row.lost += 1,
+        }
+    }
+    let rows = rows.into_values().map(|(row, times)| {
+        let at = |q: f64| times.value_at_quantile(q) as f64 / MILLI as f64;
+        Row { p50_ms: at(0.5), p99_ms: at(0.99), ..row }
+    });
+    let of_interest: Vec<&One> = all.values().filter(|one| !one.hung_up).collect();
+    let mut troubles = Vec::new();
+    let mut spans = Vec::new();
+    for line in lines {
+        let Line::Trouble { at, until, text } = line else { continue };
+        spans.push((*at, *until));
+        let during: Vec<&&One> =
+            of_interest.iter().filter(|o| o.first >= *at && o.first < (*until).max(at + 10_000)).collect();
+        troubles.push(Struck {
+            at_ms: at.saturating_sub(start) as f64 / MILLI as f64,
+            lasts_ms: until.saturating_sub(*at) as f64 / MILLI as f64,
+            what: text.clone(),
+            invocations: during.len(),
+            in_time: share(during.iter().filter(|o| in_time(o)).count(), during.len()),
+        });
+    }
+    let calm: Vec<&&One> =
+        of_interest.iter().filter(|o| spans.iter().all(|(a, b)| o.first < *a || o.first >= *b)).collect();
+    Summary {
+        day: day.into(),
+        rows: rows.collect(),
+        in_time_calm: share(calm.iter().filter(|o| in_time(o)).count(), calm.len()),
+        in_time: share(of_interest.iter().filter(|o| in_time(o)).count(), of_interest.len()),
+        troubles,
+        tries,
+        rules,
+    }
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut t = Table::new();
+    t.load_preset(presets::UTF8_HORIZONTAL_ONLY).set_header(head.to_vec());
+    t
+}
+
+fn right_from(t: &mut Table, column: usize) {
+    for c in t.column_iter_mut().skip(column) {
+        c.set_cell_alignment(CellAlignment::Right);
+    }
+}
+
+impl Summary {
+    /// Broken beats undecided beats kept.
+    pub fn state(&self) -> State {
+        let any = |s| self.rules.iter().any(|r| r.state == s);
+        [State::Broken, State::CannotTell].into_iter().find(|s| any(*s)).unwrap_or(State::Kept)
+    }
+
+    /// Tables for a person.
+    pub fn text(&self) -> String {
+        let mut t = table(&[
+            "tenant",
+            "trigger type",
+            "taken",
+            "succeeded",
+            "late",
+            "throttled",
+            "errored",
+            "hung up",
+            "lost",
+            "p50 ms",
+            "p99 ms",
+        ]);
+        for r in &self.rows {
+            let counts = [r.taken, r.succeeded, r.late, r.throttled, r.errored, r.hung_up, r.lost];
+            let mut row = vec![r.tenant.clone(), r.trigger.clone()];
+            row.extend(counts.iter().map(ToString::to_string));
+            row.extend([format!("{:.0}", r.p50_ms), format!("{:.0}", r.p99_ms)]);
+            t.add_row(row);
+        }
+        right_from(&mut t, 2);
+        let mut out = format!("{}\n{t}\n", self.day);
+        if !self.troubles.is_empty() {
+            let mut t = table(&["at s", "lasts s", "trouble", "invocations", "in time"]);
+            for s in &self.troubles {
+                t.add_row(vec![
+                    format!("{:.1}", s.at_ms / 1e3),
+                    format!("{:.1}", s.lasts_ms / 1e3),
+                    s.what.clone(),
+                    s.invocations.to_string(),
+                    format!("{:.1}%", 100.0 * s.in_time),
+                ]);
+            }
+            right_from(&mut t, 3);
+            out += &format!("{t}\nin time while calm {:.1}%, ", 100.0 * self.in_time_calm);
+        }
+        let n = &self.tries;
+        out += &format!(
+            "over the day {:.1}%\n{} tries: {} answered, {} hung up, {} lost with a killed controller, {} unanswered\n\
+             {} dispatches, {} orders to load, {} fetches ({} refused)\n",
+            100.0 * self.in_time,
+            n.sent,
+            n.answered,
+            n.hung_up,
+            n.lost_with_a_killed_controller,
+            n.unanswered,
+            n.dispatches,
+            n.orders_to_load,
+            n.fetches,
+            n.fetches_refused,
+        );
+        for r in &self.rules {
+            let state = match r.state {
+                State::Kept => "kept",
+                State::CannotTell => "cannot tell",
+                State::Broken => "BROKEN",
+            };
+            out += &format!("rule {} ({}): {state}, {} cases\n", r.rule, r.name, r.looked_at);
+            for (what, all) in [("broken", &r.broken), ("cannot tell", &r.cannot_tell)] {
+                all.iter().take(5).for_each(|f| out += &format!("  {what}: {}\n", f.text));
+                if all.len() > 5 {
+                    out += &format!("  {what}: {} more\n", all.len() - 5);
+                }
+            }
+        }
+        out
+    }
+}
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -40,7 +40,6 @@
 pub type Tokens = Rc<RefCell<BTreeMap<(u8, u16, String), Tenths>>>;
 
 /// What an invoker needs to be put up.
-#[derive(Clone)]
 pub struct Site {
     pub terms: Rc<Terms>,
     pub stated: terms::Stated,
@@ -48,7 +47,8 @@
     pub clock: Clock,
     pub turns: Turns,
     pub record: Record,
-    pub at: Address,
+    /// A port 0 becomes a real one at the first start, and is kept.
+    pub at: RefCell<Address>,
     pub store: Option<Address>,
     pub tokens: Tokens,
     pub seed: u64,
@@ -74,6 +74,8 @@
     links: BTreeMap<u64, (Who, Outbox)>,
     links_made: u64,
     jobs: BTreeMap<Job, Held>,
+    /// What jobs of open links were: a cancel may come after the end.
+    past: BTreeMap<Job, (u32, u8)>,
     reports: Vec<(Tenths, wire::Load)>,
     rng: fastrand::Rng,
     moved: Rc<Notify>,
@@ -250,6 +252,7 @@
             links: BTreeMap::new(),
             links_made: 0,
             jobs: BTreeMap::new(),
+            past: BTreeMap::new(),
             reports: Vec::new(),
             rng: fastrand::Rng::with_seed(site.seed),
             moved: Rc::default(),
@@ -265,7 +268,9 @@
 
     /// Starts the process: cold and empty, or as if it had long been up and held what it is given.
     pub async fn start(self: &Rc<Self>, cold: bool, holds: &[FnId]) -> std::io::Result<Address> {
-        let (mut door, address) = self.site.network.listen(&self.site.at).await?;
+        let at = self.site.at.borrow().clone();
+        let (mut door, address) = self.site.network.listen(&at).await?;
+        *self.site.at.borrow_mut() = address.clone();
         let now = self.site.clock.now();
         let incarnation = {
             let life = &mut *self.life.borrow_mut();
@@ -308,12 +313,12 @@
     }
 
     /// Its line on the list, as it is now.
-    pub fn entry(&self, address: &Address, state: list::Life) -> list::Entry {
+    pub fn entry(&self, state: list::Life) -> list::Entry {
         let (life, stated) = (self.life.borrow(), &self.site.stated);
         let age = self.site.clock.now() - life.started;
         list::Entry {
             invoker: stated.invoker,
-            address: address.to_string(),
+            address: self.site.at.borrow().to_string(),
             zone: stated.zone,
             kind: stated.kind as u16,
             cell: stated.cell,
@@ -468,7 +473,11 @@
             () = self.hear(link, who, &mut read) => {}
             _ = outbox.write_to(&mut output, || clock.now(), |_| ()) => {}
         }
-        self.life.borrow_mut().links.remove(&link);
+        {
+            let life = &mut *self.life.borrow_mut();
+            life.links.remove(&link);
+            life.past.retain(|(l, _), _| *l != link);
+        }
         self.with(|machine, now, yard| machine.link_lost(now, link, yard));
     }
 
@@ -481,8 +490,8 @@
             match message {
                 wire::FromController::Dispatch(d) => self.take(link, who, d, earliest),
                 wire::FromController::Cancel(c) => {
-                    if let Some(h) = self.life.borrow().jobs.get(&(link, c.dispatch)) {
-                        let (invocation, hop) = (h.invocation, h.hop);
+                    if let Some((invocation, hop)) = self.life.borrow().past.get(&(link, c.dispatch)).copied()
+                    {
                         self.site.record.note(Line::Cancelled { at, invoker, who, invocation, hop });
                     }
                     self.with(|machine, now, yard| machine.cancel(now, (link, c.dispatch), yard));
@@ -524,6 +533,7 @@
             trigger: trigger.clone(),
         });
         let held = Held { who, invocation, hop, of, trigger, token: d.token };
+        self.life.borrow_mut().past.insert(job, (invocation, hop));
         let faults = self.faults.borrow().clone();
         let ask =
             Ask { function: d.function, work: input.work_ms * MILLI as f64, expires: at + d.left_tenths };
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -16,7 +16,7 @@
     clock: Clock,
     record: Record,
     network: Rc<dyn Network>,
-    at: Address,
+    at: RefCell<Address>,
     entries: RefCell<BTreeMap<u32, (Entry, Tenths)>>,
     revision: Cell<u64>,
     followers: RefCell<Vec<(Who, Outbox)>>,
@@ -43,7 +43,7 @@
             clock,
             record,
             network,
-            at: at.clone(),
+            at: RefCell::new(at.clone()),
             entries: RefCell::default(),
             revision: Cell::new(1),
             followers: RefCell::default(),
@@ -55,7 +55,9 @@
 
     /// Serves again after [`Self::lose`].
     pub async fn come_back(self: &Rc<Self>) -> std::io::Result<Address> {
-        let (mut door, address) = self.network.listen(&self.at).await?;
+        let at = self.at.borrow().clone();
+        let (mut door, address) = self.network.listen(&at).await?;
+        *self.at.borrow_mut() = address.clone();
         let this = Rc::downgrade(self);
         self.tasks.borrow_mut().spawn_local(async move {
             while let Ok(stream) = door.accept().await {
