--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod run;
 
 use clap::{Parser, Subcommand};
+use saltdrum_controller::{Make, at_random, by_design};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -38,6 +39,9 @@
         /// Drawn from the system where it is left out.
         #[arg(long)]
         seed: Option<u64>,
+        /// A relay that picks at random in place of the design. For measurements: it keeps no rule.
+        #[arg(long, hide = true)]
+        baseline: bool,
     },
     /// Runs one stand-in until interrupted.
     #[command(subcommand)]
@@ -134,8 +138,9 @@
         logs.init();
     }
     let done = match args.what {
-        What::Serve { deployment, list, clients, first, zone, seed } => {
-            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed)
+        What::Serve { deployment, list, clients, first, zone, seed, baseline } => {
+            let make: Make = if baseline { at_random } else { by_design };
+            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, make)
         }
         What::Standin(Standin::Invoker { deployment, number, listen, store }) => {
             run::invoker(&deployment, number, &listen, store.as_deref())
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,6 +1,6 @@
 //! What each sub-command starts.
 
-use saltdrum_controller::Seat;
+use saltdrum_controller::{Make, Seat};
 use saltdrum_day::check::State;
 use saltdrum_day::{DAYS, Day, check as rules, play_on_sockets, play_virtually, summary};
 use saltdrum_deployment::Terms;
@@ -47,6 +47,7 @@
     first: u32,
     zone: Option<&str>,
     seed: Option<u64>,
+    make: Make,
 ) -> Done {
     let terms = terms(deployment)?;
     let list: Address = list.parse()?;
@@ -68,7 +69,8 @@
                 let (zone, terms) = (zone as u8, Rc::new(terms));
                 let seat = Seat { controller, incarnation, seed, zone, clients: vec![clients], list, terms };
                 tokio::select! {
-                    done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start()) => {
+                    biased;
+                    done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start(), make) => {
                         done.map_err(|e| format!("controller {controller}: {e}"))
                     }
                     () = until_interrupted() => Ok(()),
@@ -119,6 +121,7 @@
         }
     };
     tokio::select! {
+        biased;
         () = printing => {}
         () = until_interrupted() => {}
     }
@@ -190,7 +193,7 @@
     };
     let day = day.map_err(|e| e.to_string())?;
     let lines = if virtually {
-        play_virtually(&day)
+        play_virtually(&day, saltdrum_day::serve)
     } else {
         let folder = std::env::temp_dir().join(format!("saltdrum-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -133,6 +133,7 @@
     let clock: Clock = front.clock;
     let read = Read::new(input, clock, front.turns.clone());
     let why = tokio::select! {
+        biased;
         why = listen(&front, &client, read) => why,
         done = client.outbox.write_to(&mut output, || clock.now(), |_| ()) => match done {
             Ok(()) => "said goodbye".to_owned(),
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,8 +1,8 @@
 use crate::clients::Reply;
+use crate::decides::{Decides, Make};
 use crate::links::Link;
 use crate::redial::Dials;
 use crate::{clients, links, list};
-use saltdrum::Controller;
 use saltdrum::port::*;
 use saltdrum_deployment::Terms;
 use saltdrum_link::{Address, Clock, Network, Turns, turning};
@@ -35,7 +35,7 @@
 }
 
 /// One controller: its state, and what it is handed to live on.
-pub struct Front {
+pub(crate) struct Front {
     state: RefCell<State>,
     pub(crate) clock: Clock,
     pub(crate) network: Rc<dyn Network>,
@@ -46,7 +46,7 @@
 
 /// The module and all it acts through. They lie side by side, so that the module can be called with the desk.
 pub(crate) struct State {
-    pub module: Controller,
+    pub module: Box<dyn Decides>,
     pub desk: Desk,
 }
 
@@ -136,6 +136,7 @@
                 continue;
             };
             tokio::select! {
+                biased;
                 () = self.clock.sleep_until(at) => {}
                 () = self.earlier.notified() => continue,
             }
@@ -466,13 +467,14 @@
     }
 }
 
-/// Runs one controller until the future is dropped, which is as sudden as a kill. Fails when it can't listen.
-pub async fn serve(seat: Seat, network: Rc<dyn Network>, clock: Clock) -> std::io::Result<()> {
+/// Runs one controller until the future is dropped, which is as sudden as a kill. Fails when it can't listen. `make`
+/// is [`by_design`](crate::by_design) but for measurements.
+pub async fn serve(seat: Seat, network: Rc<dyn Network>, clock: Clock, make: Make) -> std::io::Result<()> {
     let local = tokio::task::LocalSet::new();
-    local.run_until(run(seat, network, clock)).await
+    local.run_until(run(seat, network, clock, make)).await
 }
 
-async fn run(seat: Seat, network: Rc<dyn Network>, clock: Clock) -> std::io::Result<()> {
+async fn run(seat: Seat, network: Rc<dyn Network>, clock: Clock, make: Make) -> std::io::Result<()> {
     let (now, terms) = (clock.now(), seat.terms.clone());
     let deployment = Deployment { zone: seat.zone, ..terms.deployment.clone() };
     let mut desk = Desk {
@@ -490,7 +492,7 @@
         after: VecDeque::new(),
         last_inv: 0,
     };
-    let module = Controller::new(now, deployment, seat.seed, &mut desk);
+    let module = make(now, deployment, seat.seed, &mut desk);
     let front = Rc::new(Front {
         state: RefCell::new(State { module, desk }),
         clock,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,10 +8,12 @@
 //! One thread, one `LocalSet`, no locks. Streams, clock and seed are handed in.
 
 mod clients;
+mod decides;
 mod front;
 mod links;
 mod list;
 mod redial;
 
-pub use front::{Front, Seat, serve};
+pub use decides::{Decides, Make, at_random, by_design};
+pub use front::{Seat, serve};
 pub use redial::{Dials, Redial};
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -233,6 +233,7 @@
             continue;
         };
         tokio::select! {
+            biased;
             () = tokio::time::sleep(Duration::from_micros(wait * 100)) => {}
             () = changed.notified() => continue,
         }
@@ -242,6 +243,7 @@
             (link.entry.address.clone(), link.outbox.clone(), link.broken.clone())
         });
         let why = tokio::select! {
+            biased;
             why = connected(&front, invoker, &address, &outbox) => why,
             () = broken.notified() => "cut off".into(),
         };
@@ -275,6 +277,7 @@
     let clock = front.clock;
     let withdrawn = |ticket| front.tell(|state| not_sent(state, invoker, &[ticket]));
     tokio::select! {
+        biased;
         why = hear(front, invoker, input, read) => why,
         done = outbox.write_to(&mut output, || clock.now(), withdrawn) => match done {
             Ok(()) => "closed".into(),
--- a/crates/day/src/clients.rs
+++ b/crates/day/src/clients.rs
@@ -195,6 +195,7 @@
             let clock = this.clock;
             let mut read = Read::new(input, clock, this.turns.clone());
             let said_goodbye = tokio::select! {
+                biased;
                 () = this.listen(&mut read, &waiting, late) => false,
                 done = outbox.write_to(&mut output, || clock.now(), |_| ()) => done.is_ok(),
             };
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -5,7 +5,7 @@
 use crate::script::{Day, Kind, Trouble};
 use crate::traffic;
 use saltdrum::port::{Effect, SECOND, Scope, Tenths};
-use saltdrum_controller::{Seat, serve};
+use saltdrum_controller::{Seat, by_design};
 use saltdrum_deployment::Terms;
 use saltdrum_link::{Address, Clock, Memory, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::Life;
@@ -14,8 +14,10 @@
 use saltdrum_standin::{Invoker, List, Store};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io;
 use std::path::Path;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -23,7 +25,7 @@
 use tracing::{info, warn};
 
 /// Where controllers sit, and so how they are killed and stopped.
-pub enum Cast {
+enum Cast {
     /// Each on a thread of its own, on the machine's sockets; files for sockets go into the folder.
     Threads(std::path::PathBuf),
     /// All on this thread, on in-memory streams.
@@ -35,7 +37,20 @@
     Task(JoinHandle<()>),
 }
 
+/// Runs a controller in its seat until dropped.
+pub type Serve = fn(Seat, Rc<dyn Network>, Clock) -> Pin<Box<dyn Future<Output = io::Result<()>>>>;
+
+/// The controller that a day is played on, unless a test puts another in its place.
+pub fn serve(
+    seat: Seat,
+    network: Rc<dyn Network>,
+    clock: Clock,
+) -> Pin<Box<dyn Future<Output = io::Result<()>>>> {
+    Box::pin(saltdrum_controller::serve(seat, network, clock, by_design))
+}
+
 struct Stage {
+    serve: Serve,
     day: Rc<Day>,
     cast: Cast,
     network: Rc<dyn Network>,
@@ -56,13 +71,13 @@
 pub fn play_on_sockets(day: &Day, folder: &Path) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let cast = Cast::Threads(folder.to_owned());
-    LocalSet::new().block_on(&runtime, play(day.clone(), cast, Rc::new(Sockets)))
+    LocalSet::new().block_on(&runtime, play(day.clone(), cast, Rc::new(Sockets), serve))
 }
 
 /// Plays a day in virtual time, on in-memory streams.
-pub fn play_virtually(day: &Day) -> io::Result<Vec<Line>> {
+pub fn play_virtually(day: &Day, serve: Serve) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
-    LocalSet::new().block_on(&runtime, play(day.clone(), Cast::Virtual, Rc::new(Memory::default())))
+    LocalSet::new().block_on(&runtime, play(day.clone(), Cast::Virtual, Rc::new(Memory::default()), serve))
 }
 
 fn stated(terms: &Terms) -> record::Stated {
@@ -107,7 +122,7 @@
 }
 
 /// Plays a day on the `LocalSet` this is called on, and gives the record, in order of time.
-pub async fn play(day: Day, cast: Cast, network: Rc<dyn Network>) -> io::Result<Vec<Line>> {
+async fn play(day: Day, cast: Cast, network: Rc<dyn Network>, serve: Serve) -> io::Result<Vec<Line>> {
     let (clock, record, turns) = (Clock::start(), Record::default(), Turns::default());
     record.note(Line::Stated(stated(&day.terms)));
     let noted = record.clone();
@@ -149,6 +164,7 @@
     let day = Rc::new(day);
     let clients = Clients::new(day.clone(), network.clone(), clock, turns, record.clone());
     let stage = Rc::new(Stage {
+        serve,
         start: clock.now() + SECOND / 2,
         day,
         cast,
@@ -199,6 +215,7 @@
         };
         let seed = self.day.seed ^ (u64::from(controller) << 40) ^ (incarnation << 56);
         let (terms, list, clock) = (self.day.terms.clone(), self.list_address.clone(), self.clock);
+        let serve = self.serve;
         let chair = match &self.cast {
             Cast::Threads(_) => {
                 let (stop, mut stops) = mpsc::unbounded_channel::<Duration>();
@@ -224,6 +241,7 @@
                     };
                     runtime.block_on(async {
                         tokio::select! {
+                            biased;
                             done = serve(seat(terms, clients, list, seed), Rc::new(Sockets), clock) => {
                                 if let Err(e) = done {
                                     warn!(controller, %e, "a controller could not serve");
--- /dev/null
+++ b/crates/day/tests/days.rs
@@ -0,0 +1,229 @@
+//! Whole days through the real controller: on loopback sockets, and in virtual time.
+
+use proptest::prelude::*;
+use saltdrum_day::{DAYS, Day, State, check::check, play_on_sockets, play_virtually, serve, summary};
+use saltdrum_standin::record::{Line, Try, write};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn builtin(name: &str) -> Day {
+    let script = DAYS.iter().find(|d| d.0 == name).unwrap().1;
+    Day::load(name, script).unwrap()
+}
+
+fn bytes(lines: &[Line]) -> Vec<u8> {
+    let mut out = Vec::new();
+    write(lines, &mut out).unwrap();
+    out
+}
+
+/// No rule is broken, and what was taken was answered but for what the script took away.
+fn holds(name: &str, lines: &[Line]) -> summary::Summary {
+    let s = summary::sum_up(name, lines, check(lines).unwrap());
+    assert_ne!(s.state(), State::Broken, "{}", s.text());
+    let t = &s.tries;
+    assert_eq!(t.sent, t.answered + t.hung_up + t.lost_with_a_killed_controller + t.unanswered);
+    // What a disturbed machine leaves unanswered is told by rule 1, never passed over.
+    assert!(t.unanswered <= s.rules[0].cannot_tell.len(), "{}", s.text());
+    s
+}
+
+#[test]
+fn the_bad_day_on_loopback_sockets() {
+    let folder = tempfile::tempdir().unwrap();
+    let lines = play_on_sockets(&builtin("bad-day"), folder.path()).unwrap();
+    let s = holds("bad day", &lines);
+    assert!(s.tries.sent > 5_000 && s.tries.hung_up > 0 && s.tries.fetches_refused > 0, "{}", s.text());
+    assert!(s.rules[..4].iter().all(|r| r.looked_at > 50), "{}", s.text());
+    assert!(s.in_time > 0.5, "most is served, whatever the machine does: {}", s.text());
+    let lives: BTreeSet<_> = lines
+        .iter()
+        .filter_map(|l| if let Line::Controller { who, up: true, .. } = l { Some(*who) } else { None })
+        .collect();
+    assert_eq!(lives.len(), 4, "three controllers, one of which came back");
+}
+
+/// An order to load that reached an invoker, and no load of the function ended there before the list said it drains.
+#[test]
+fn the_bad_day_marks_a_drain_while_an_order_waits() {
+    let lines = play_virtually(&builtin("bad-day"), serve).unwrap();
+    holds("bad day", &lines);
+    let mut waiting: BTreeSet<(u32, u64)> = BTreeSet::new();
+    let mut seen = 0;
+    for line in &lines {
+        match line {
+            Line::Ordered { invoker, function, count: 1.., .. } => {
+                drop(waiting.insert((*invoker, *function)))
+            }
+            Line::Loaded { invoker, function, .. } => drop(waiting.remove(&(*invoker, *function))),
+            Line::Told { invoker, life, .. } if life == "draining" => {
+                seen += waiting.iter().filter(|(w, _)| w == invoker).count();
+            }
+            _ => {}
+        }
+    }
+    assert!(seen > 0);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_day_and_another_seed_another() {
+    let play = |seed| {
+        let day = Day { seed, ..builtin("answers-lost") };
+        bytes(&play_virtually(&day, serve).unwrap())
+    };
+    let first = play(21);
+    assert!(first == play(21), "a virtual day repeats to the byte");
+    assert!(first != play(22));
+}
+
+#[test]
+fn days_that_come_with_the_program_keep_the_rules_in_virtual_time() {
+    for (name, _) in DAYS {
+        let s = holds(name, &play_virtually(&builtin(name), serve).unwrap());
+        assert_eq!(s.state(), State::Kept, "{}", s.text());
+        assert_eq!(s.tries.unanswered, 0);
+        assert!(s.in_time > 0.6, "{}", s.text());
+    }
+}
+
+/// Counted at the stand-ins, whatever the checker says.
+#[test]
+fn lost_answers_double_no_effect() {
+    let lines = play_virtually(&builtin("answers-lost"), serve).unwrap();
+    let mut triggers: BTreeMap<Try, &str> = BTreeMap::new();
+    let mut effects: BTreeMap<u64, u32> = BTreeMap::new();
+    let (mut lost, mut again) = (0, 0);
+    for line in &lines {
+        match line {
+            Line::Sent { of, trigger, .. } => drop(triggers.insert(*of, trigger)),
+            Line::Ended { told: false, .. } => lost += 1,
+            Line::Dispatched { hop: 1.., trigger, .. } if trigger == "note" => again += 1,
+            Line::Ran { of, repeat: false, .. } if triggers[of] != "score" => {
+                *effects.entry(of.n).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+    assert!(lost > 50 && again > 5 && effects.len() > 800, "{lost} {again} {}", effects.len());
+    assert!(effects.values().all(|n| *n == 1));
+}
+
+const SHORT: &str = r#"
+deployment(controllers = 2, keep_alive = "9s", cold_share = 0.3, cold_time = "5s", tip_factor = 2.5, tip_window = "1s")
+machine("big", memory = "20GB", cores = 4)
+invokers(kind = "big", count = 4, cell_size = 2)
+trigger_type("narrate", objective = "1s", client_timeout = "3s")
+trigger_type("book", objective = "1s", client_timeout = "3s", effect = "non-idempotent")
+trigger_type("charge", objective = "1s", client_timeout = "3s", effect = "tokened", scope = "cell", repeat_window = "2s")
+tenant("hill", quota_per_s = 90)
+[function("voice-%d" % n, trigger = "narrate", memory = "2GB", lanes = 4, load_time = "700ms") for n in range(6)]
+function("book", trigger = "book", memory = "1GB", lanes = 4, load_time = "300ms")
+function("charge", trigger = "charge", memory = "1GB", lanes = 4, load_time = "300ms")
+day("short", length = "6s", seed = 4, retries = 1)
+traffic(tenant = "hill", functions = ["voice-%d" % n for n in range(6)], per_second = 60, work = "60ms")
+traffic(tenant = "hill", functions = ["book"], per_second = 10, work = "40ms")
+traffic(tenant = "hill", functions = ["charge"], per_second = 10, work = "40ms")
+"#;
+
+#[test]
+fn a_short_day_comes_out_alike_on_sockets_and_in_virtual_time() {
+    let script = format!(
+        "{SHORT}trouble(\"crash\", at = \"2s\", lasts = \"1s\", invokers = [2])\n\
+         trouble(\"answers_lost\", at = \"3s\", lasts = \"1s\", part = 0.2)\n"
+    );
+    let day = Day::load("short.star", &script).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let real = holds("sockets", &play_on_sockets(&day, folder.path()).unwrap());
+    let virtually = holds("virtual", &play_virtually(&day, serve).unwrap());
+    let taken =
+        |s: &summary::Summary| s.rows.iter().map(|r| (r.trigger.clone(), r.taken)).collect::<Vec<_>>();
+    assert_eq!(taken(&real), taken(&virtually));
+    for s in [real, virtually] {
+        assert!(s.in_time > 0.75, "{}", s.text());
+    }
+}
+
+fn trouble() -> impl Strategy<Value = String> {
+    let invokers = proptest::collection::btree_set(1u32..5, 1..4);
+    let kinds = prop_oneof![
+        Just("crash"),
+        Just("slow"),
+        Just("hang"),
+        Just("fast_errors"),
+        Just("late_reports"),
+        Just("ageing"),
+        Just("answers_lost"),
+        Just("stuck_sockets"),
+        Just("half_frames"),
+        Just("deploy"),
+        Just("store_slow"),
+        Just("store_refuses"),
+        Just("flush"),
+        Just("refused_for_room"),
+        Just("client_hang_ups"),
+        Just("heavy_tail"),
+        Just("list_lost"),
+        Just("bad_input"),
+        Just("controller_crash"),
+        Just("controller_roll"),
+    ];
+    (kinds, 0u32..5_000, 200u32..3_000, 1u32..100, invokers).prop_map(|(kind, at, lasts, part, invokers)| {
+        let extra = match kind {
+            "controller_crash" | "controller_roll" => "controllers = [1]".to_owned(),
+            "refused_for_room" => "tenant = \"hill\", part = 0.5".to_owned(),
+            "client_hang_ups" => "part = 0.1, delay = \"600ms\"".to_owned(),
+            "heavy_tail" => "part = 0.05, times = 10".to_owned(),
+            _ => format!("invokers = {invokers:?}, part = 0.{part:02}, times = 4, delay = \"1200ms\"")
+                .replace('{', "[")
+                .replace('}', "]"),
+        };
+        format!("trouble(\"{kind}\", at = \"{at}ms\", lasts = \"{lasts}ms\", {extra})\n")
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 40,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        max_shrink_iters: 60,
+        ..Default::default()
+    })]
+
+    #[test]
+    fn random_troubles_break_no_rule(troubles in proptest::collection::vec(trouble(), 1..6), seed in 0u64..1_000) {
+        let script = format!("{SHORT}{}", troubles.concat());
+        let day = Day { seed, ..Day::load("random.star", &script).unwrap() };
+        let lines = play_virtually(&day, serve).unwrap();
+        let s = summary::sum_up("random", &lines, check(&lines).unwrap());
+        prop_assert_eq!(s.state(), State::Kept, "{}\n{}", script, s.text());
+        prop_assert_eq!(s.tries.unanswered, 0, "{}\n{}", script, s.text());
+    }
+}
+
+#[test]
+fn what_is_wrong_with_a_day_is_said_with_its_line() {
+    for (line, say) in [
+        (
+            "trouble(\"plague\", at = \"1s\")",
+            "short.star:16: trouble: 'plague' is no trouble; known are crash",
+        ),
+        (
+            "trouble(\"crash\", at = \"1s\", lasts = \"1s\")",
+            "short.star:16: trouble: crash: invokers = [...] is expected",
+        ),
+        ("trouble(\"hang\", at = 3, lasts = \"1s\")", "short.star:16: trouble: at = 3: a unit is missing"),
+        ("trouble(\"hang\", at = \"1s\", invokers = [1])", "short.star:16: trouble: hang: lasts is expected"),
+        (
+            "trouble(\"hang\", at = \"1s\", lasts = \"1s\", invokers = [9])",
+            "short.star:16: trouble: invoker 9: 1 to 4",
+        ),
+        (
+            "traffic(tenant = \"hill\", functions = [\"x\"], per_second = 1, work = \"1s\")",
+            "short.star:16: traffic: no function",
+        ),
+        ("day(\"again\", length = \"1s\")", "short.star:16: day: stated a second time"),
+    ] {
+        let got = Day::load("short.star", &format!("{SHORT}{line}\n")).unwrap_err().to_string();
+        assert!(got.starts_with(say), "{got}");
+    }
+}
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -382,6 +382,7 @@
             };
             let at = next.unwrap_or(self.site.clock.now() + 1_000 * MILLI);
             tokio::select! {
+                biased;
                 () = self.site.clock.sleep_until(at) => {
                     self.with(|machine, now, yard| machine.advance(now, yard));
                     moved.notified().await;
@@ -470,6 +471,7 @@
             life.links_made
         };
         tokio::select! {
+            biased;
             () = self.hear(link, who, &mut read) => {}
             _ = outbox.write_to(&mut output, || clock.now(), |_| ()) => {}
         }
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -104,6 +104,7 @@
             }
         };
         tokio::select! {
+            biased;
             () = gone => {}
             _ = outbox.write_to(&mut output, || clock.now(), |_| ()) => {}
         }
