--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -167,6 +167,9 @@
                 client.fewer.notified().await;
             }
         }
+        // What clients ask for must not hold up what invokers answer: in a backlog the answers would look slow, and the
+        // module would take the controller's own lag for a jam of the fleet.
+        tokio::task::yield_now().await;
         searched = read.bytes.len();
         if searched > rpc::LINE_MOST_BYTES {
             let why = format!("line of over {} bytes", rpc::LINE_MOST_BYTES);
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -86,7 +86,7 @@
 
 /// One invocation, from its reading to its last dispatch's end.
 pub(crate) struct Inv {
-    call: Rc<rpc::Invoke>,
+    call: rpc::Invoke,
     function: FnId,
     expires: Tenths,
     /// When the client stops waiting: nothing is sent from then on.
@@ -279,7 +279,7 @@
             load_hint: function.load,
         };
         let span = info_span!("invocation", id, function = call.function, tenant = call.tenant);
-        let (call, function) = (Rc::new(call), function.id);
+        let function = function.id;
         let out = BTreeMap::new();
         let inv = Inv { call, function, expires, gone, reply: Some(reply), hops: 0, out, span };
         desk.invs.insert(id, inv);
@@ -371,17 +371,17 @@
         let span = info_span!(parent: &inv.span, "dispatch", hop, invoker);
         let last = inv.expires.saturating_sub(LAST_WORD);
         let until = if time_out == 0 { last } else { last.min(self.now + time_out) };
-        let frame = wire::Dispatch {
+        let frame = wire::DispatchOut {
             dispatch: 0,
             invocation: id,
             hop,
             function: inv.function,
-            name: inv.call.function.clone(),
-            tenant: inv.call.tenant.clone(),
-            trigger: inv.call.trigger.clone(),
+            name: &inv.call.function,
+            tenant: &inv.call.tenant,
+            trigger: &inv.call.trigger,
             left_tenths: inv.gone - self.now.min(inv.gone),
-            token: inv.call.token.clone(),
-            input: inv.call.input.as_ref().map_or(b"null".to_vec(), |i| i.get().as_bytes().to_vec()).into(),
+            token: inv.call.token.as_deref(),
+            input: inv.call.input.as_ref().map_or(&b"null"[..], |i| i.get().as_bytes()).into(),
         };
         let sent = match self.links.get_mut(&invoker) {
             _ if inv.reply.is_none() => Err(Outcome::NotSent),
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -87,7 +87,7 @@
 
     pub fn dispatch(
         &mut self,
-        frame: wire::Dispatch,
+        frame: wire::DispatchOut,
         until: Tenths,
         inv: InvId,
         hop: u8,
@@ -96,8 +96,8 @@
             return Err(Outcome::NoConnection);
         }
         self.last += 1;
-        let frame = wire::Dispatch { dispatch: self.last, ..frame };
-        let ticket = self.put(encode(&frame), until.min(self.cutoff));
+        let frame = wire::DispatchOut { dispatch: self.last, ..frame };
+        let ticket = self.put(frame.encode(), until.min(self.cutoff));
         let Some(ticket) = ticket else {
             self.last -= 1;
             return Err(Outcome::NotSent);
--- a/crates/link/src/turns.rs
+++ b/crates/link/src/turns.rs
@@ -16,7 +16,7 @@
 pub const TURN_EVERY: Tenths = 10 * MILLI;
 /// Turns further apart mean that the thread stood still.
 const STOOD: Tenths = 40 * MILLI;
-const READ_BYTES: usize = 32 << 10;
+const READ_BYTES: usize = 16 << 10;
 
 /// The turns of one thread: when it last looked, and the last time it stood still.
 #[derive(Clone, Default)]
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -16,9 +16,14 @@
 
 /// A whole frame as it goes out.
 pub fn encode<M: Message>(message: &M) -> Bytes {
-    let mut out = vec![0; HEAD];
-    out.push(M::KIND);
-    rmp_serde::encode::write(&mut out, message).expect("messages hold nothing that MessagePack lacks");
+    encode_as(M::KIND, message)
+}
+
+pub(crate) fn encode_as(kind: u8, body: &impl Serialize) -> Bytes {
+    let mut out = Vec::with_capacity(256);
+    out.extend_from_slice(&[0; HEAD]);
+    out.push(kind);
+    rmp_serde::encode::write(&mut out, body).expect("messages hold nothing that MessagePack lacks");
     let length = (out.len() - HEAD) as u32;
     out[..HEAD].copy_from_slice(&length.to_le_bytes());
     out.into()
--- a/crates/protocol/src/invoker.rs
+++ b/crates/protocol/src/invoker.rs
@@ -42,6 +42,27 @@
     pub input: ByteBuf,
 }
 
+/// A [`Dispatch`] on its way out, its parts where they lie.
+#[derive(Debug, Clone, Serialize)]
+pub struct DispatchOut<'a> {
+    pub dispatch: u64,
+    pub invocation: u32,
+    pub hop: u8,
+    pub function: u64,
+    pub name: &'a str,
+    pub tenant: &'a str,
+    pub trigger: &'a str,
+    pub left_tenths: u64,
+    pub token: Option<&'a str>,
+    pub input: &'a serde_bytes::Bytes,
+}
+
+impl DispatchOut<'_> {
+    pub fn encode(&self) -> bytes::Bytes {
+        crate::frame::encode_as(<Dispatch as crate::frame::Message>::KIND, self)
+    }
+}
+
 /// Stop a dispatch; its answer says what came of it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Cancel {
