--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -105,6 +105,15 @@
         listen: String,
         #[arg(long)]
         store: Option<String>,
+        /// Takes work and answers nothing.
+        #[arg(long)]
+        hangs: bool,
+        /// Share of dispatches answered with an error at once.
+        #[arg(long, default_value_t = 0.0)]
+        errors: f64,
+        /// Share of answers that are lost.
+        #[arg(long, default_value_t = 0.0)]
+        loses_answers: f64,
     },
     /// The model store.
     Store {
@@ -142,8 +151,17 @@
             let make: Make = if baseline { at_random } else { by_design };
             run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, make)
         }
-        What::Standin(Standin::Invoker { deployment, number, listen, store }) => {
-            run::invoker(&deployment, number, &listen, store.as_deref())
+        What::Standin(Standin::Invoker {
+            deployment,
+            number,
+            listen,
+            store,
+            hangs,
+            errors,
+            loses_answers,
+        }) => {
+            let faults = saltdrum_standin::Faults { hangs, errors, loses_answers, ..Default::default() };
+            run::invoker(&deployment, number, &listen, store.as_deref(), faults)
         }
         What::Standin(Standin::Store { listen, limit }) => run::store(&listen, limit),
         What::Standin(Standin::List { deployment, listen, invokers }) => {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -7,7 +7,7 @@
 use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::{Entry, Life};
 use saltdrum_standin::invoker::Site;
-use saltdrum_standin::{Invoker, List, Record, Store, record};
+use saltdrum_standin::{Faults, Invoker, List, Record, Store, record};
 use std::cell::RefCell;
 use std::fs;
 use std::future::Future;
@@ -84,7 +84,7 @@
     Ok(0)
 }
 
-pub fn invoker(deployment: &Path, number: u32, listen: &str, store: Option<&str>) -> Done {
+pub fn invoker(deployment: &Path, number: u32, listen: &str, store: Option<&str>, faults: Faults) -> Done {
     let terms = Rc::new(terms(deployment)?);
     let stated = terms.invokers.iter().find(|i| i.invoker == number).cloned();
     let stated = stated.ok_or(format!("invoker {number}: the deployment states {}", terms.invokers.len()))?;
@@ -105,7 +105,9 @@
             seed: fastrand::u64(..),
             fetch_share: 0.6,
         };
-        let address = Invoker::new(site).start(false, &[]).await.map_err(|e| format!("{listen}: {e}"))?;
+        let invoker = Invoker::new(site);
+        invoker.fault(|f, _| *f = faults);
+        let address = invoker.start(false, &[]).await.map_err(|e| format!("{listen}: {e}"))?;
         println!("invoker {number} at {address}");
         print_until_interrupted(&record).await;
         Ok(0)
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -192,6 +192,11 @@
         self.start + offset
     }
 
+    /// Controllers are spread evenly over the zones.
+    fn zone_of(&self, controller: u32) -> u8 {
+        ((controller - 1) % self.day.terms.zones.len().max(1) as u32) as u8
+    }
+
     /// Lets a controller begin a new life.
     fn seat(&self, controller: u32) -> io::Result<()> {
         let incarnation = self.lives.borrow().get(&controller).map_or(1, |i| i + 1);
@@ -203,12 +208,12 @@
             }
             Cast::Virtual => Address::Memory(format!("controller-{controller}-{incarnation}")),
         };
-        let zones = self.day.terms.zones.len().max(1) as u32;
+        let zone = self.zone_of(controller);
         let seat = move |terms: Terms, clients: Address, list: Address, seed: u64| Seat {
             controller,
             incarnation,
             seed,
-            zone: ((controller - 1) % zones) as u8,
+            zone,
             clients: vec![clients],
             list,
             terms: Rc::new(terms),
@@ -381,9 +386,11 @@
                     .filter(|i| Some(i.site.stated.zone) == t.zone)
                     .map(|i| i.site.stated.invoker)
                     .collect();
-                self.fault(&cut, |f| (f.stuck, f.hangs) = (true, true));
+                let all = 1..=self.day.terms.deployment.controllers;
+                let beyond: Vec<u32> = all.filter(|c| Some(self.zone_of(*c)) != t.zone).collect();
+                self.fault(&cut, |f| f.cut_from.clone_from(&beyond));
                 self.sleep(t.lasts).await;
-                self.fault(&cut, |f| (f.stuck, f.hangs) = (false, false));
+                self.fault(&cut, |f| f.cut_from.clear());
             }
             Kind::Slow => {
                 struck().for_each(|i| i.fault(|_, m| m.slowness = t.times));
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -66,7 +66,7 @@
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(tag = "what", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Line {
     Stated(Stated),
     /// By the client: the whole call has been written.
