--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line: arguments, logs and exit codes, nothing else.
 
+mod layers;
 mod run;
 
 use clap::{Parser, Subcommand};
@@ -86,6 +87,9 @@
         #[arg(long)]
         token: Option<String>,
     },
+    /// Models as chunks.
+    #[command(subcommand)]
+    Layers(layers::Layers),
     /// Prints a controller's status.
     Status {
         #[arg(long)]
@@ -172,6 +176,7 @@
         What::Call { to, function, tenant, trigger, input, time_left_ms, token } => {
             run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token)
         }
+        What::Layers(what) => layers::run(&what),
         What::Status { to } => run::status(&to),
     };
     match done {
