--- a/crates/layers/src/digest.rs
+++ b/crates/layers/src/digest.rs
@@ -11,6 +11,14 @@
         Self(Sha256::digest(bytes).into())
     }
 
+    pub(crate) fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    pub(crate) fn from_bytes(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
     /// The digest alone, in hexadecimal: safe as a file's name, whatever a manifest said.
     pub fn hex(&self) -> String {
         self.0.iter().map(|b| format!("{b:02x}")).collect()
--- a/crates/layers/src/lib.rs
+++ b/crates/layers/src/lib.rs
@@ -4,6 +4,7 @@
 //! decides, without I/O or clock, who is home to a chunk, whom to ask for it, when again, and what to serve to others.
 //! Nothing is used before its digest held. `docs/design-layers.md` weighs the options.
 
+pub mod cache;
 pub mod cut;
 pub mod digest;
 pub mod layout;
