--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for what a controller talks to: invokers, the model store, the invoker list.
 //!
-//! `machine` is what an invoker does, without I/O: memory, copies, lanes, cores, loads. `invoker`, `store` and `list`
+//! `machine` is what an invoker does, without I/O: memory, copies, lanes, cores, loads. `invoker`, `store`, `registry` and `list`
 //! put sockets round it and can be told to fail in stated ways ([`Faults`]). Each notes what crosses its sockets in a
 //! [`Record`], from which the rules are judged. None of this serves real work.
 
@@ -8,9 +8,11 @@
 pub mod list;
 pub mod machine;
 pub mod record;
+pub mod registry;
 pub mod store;
 
 pub use invoker::{Faults, Invoker};
 pub use list::List;
 pub use record::{Line, Record};
+pub use registry::Registry;
 pub use store::Store;
--- /dev/null
+++ b/crates/standin/src/registry.rs
@@ -0,0 +1,234 @@
+//! A model store that speaks the pull half of the OCI distribution specification, and fails as it is told.
+//!
+//! Written from the public text: manifests by tag or digest, blobs by digest with ranges, 404 and 429 with Retry-After.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use saltdrum_layers::manifest::{MANIFEST_TYPE, Manifest};
+use saltdrum_layers::{Digest, cut};
+use saltdrum_link::{Address, Network};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// What the store is told to do wrong. Shares are of blob requests.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Refused with 429 before a byte.
+    pub refuses: f64,
+    /// Cut off in mid-body.
+    pub cuts: f64,
+    /// Nothing more after half the body.
+    pub stalls: f64,
+    /// A length that is not the body's.
+    pub lies: f64,
+    /// These come with a byte changed.
+    pub damaged: BTreeSet<Digest>,
+}
+
+pub struct Registry {
+    manifests: RefCell<BTreeMap<(String, String), Bytes>>,
+    blobs: RefCell<BTreeMap<Digest, Bytes>>,
+    pub faults: RefCell<Faults>,
+    /// Blobs under way, beyond which it refuses.
+    pub limit: Cell<usize>,
+    /// Blobs at full pace; beyond, all slow down.
+    pub full_pace: f64,
+    pub bytes_per_second: f64,
+    in_hand: Cell<usize>,
+    rng: RefCell<fastrand::Rng>,
+    /// Requests for each blob, refused ones among them.
+    pub requests: RefCell<BTreeMap<Digest, u32>>,
+    pub refused: Cell<u32>,
+    pub bytes_sent: Cell<u64>,
+}
+
+enum Ending {
+    Whole,
+    CutOff,
+    Stalled,
+}
+
+struct Sending {
+    parts: Vec<Bytes>,
+    length: u64,
+    ending: Ending,
+    _held: Option<InHand>,
+}
+
+struct InHand(Rc<Registry>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.in_hand.set(self.0.in_hand.get() - 1);
+    }
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match (self.parts.pop(), &self.ending) {
+            (Some(part), _) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            (None, Ending::Whole) => Poll::Ready(None),
+            (None, Ending::CutOff) => Poll::Ready(Some(Err(io::Error::other("told to cut off")))),
+            (None, Ending::Stalled) => Poll::Pending,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length)
+    }
+}
+
+fn plain(status: StatusCode) -> Response<Sending> {
+    let mut response =
+        Response::new(Sending { parts: Vec::new(), length: 0, ending: Ending::Whole, _held: None });
+    *response.status_mut() = status;
+    response
+}
+
+fn whole(bytes: Bytes) -> Sending {
+    Sending { length: bytes.len() as u64, parts: vec![bytes], ending: Ending::Whole, _held: None }
+}
+
+impl Registry {
+    pub fn new(limit: usize, seed: u64) -> Rc<Self> {
+        Rc::new(Self {
+            manifests: RefCell::default(),
+            blobs: RefCell::default(),
+            faults: RefCell::default(),
+            limit: Cell::new(limit),
+            full_pace: 8.0,
+            bytes_per_second: 40e6,
+            in_hand: Cell::new(0),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            requests: RefCell::default(),
+            refused: Cell::new(0),
+            bytes_sent: Cell::new(0),
+        })
+    }
+
+    /// Takes a model in under a tag, which moves if it was there.
+    pub fn push(&self, repository: &str, tag: &str, model: &[u8]) -> io::Result<Manifest> {
+        let manifest = cut::pack(model, |chunk, stored| {
+            self.blobs.borrow_mut().insert(chunk.digest, Bytes::copy_from_slice(stored));
+            Ok(())
+        })?;
+        self.push_manifest(repository, tag, manifest.write());
+        Ok(manifest)
+    }
+
+    /// As it is, right or wrong.
+    pub fn push_manifest(&self, repository: &str, tag: &str, bytes: Vec<u8>) {
+        let (digest, bytes) = (Digest::of(&bytes).to_string(), Bytes::from(bytes));
+        let mut manifests = self.manifests.borrow_mut();
+        manifests.insert((repository.into(), digest), bytes.clone());
+        manifests.insert((repository.into(), tag.into()), bytes);
+    }
+
+    /// Listens and serves on the `LocalSet` it is called on.
+    pub async fn open(self: &Rc<Self>, network: &dyn Network, at: &Address) -> io::Result<Address> {
+        let (mut door, address) = network.listen(at).await?;
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok(stream) = door.accept().await {
+                let this = this.clone();
+                tokio::task::spawn_local(async move {
+                    let answer = service_fn(move |request| {
+                        let this = this.clone();
+                        async move { Ok::<_, Infallible>(this.answer(request).await) }
+                    });
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), answer).await;
+                });
+            }
+        });
+        Ok(address)
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Sending> {
+        if !matches!(*request.method(), Method::GET | Method::HEAD) {
+            return plain(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let path = request.uri().path();
+        if path == "/v2/" {
+            return plain(StatusCode::OK);
+        }
+        let Some(rest) = path.strip_prefix("/v2/") else { return plain(StatusCode::NOT_FOUND) };
+        if let Some((repository, reference)) = rest.rsplit_once("/manifests/") {
+            let key = (repository.to_owned(), reference.to_owned());
+            let Some(bytes) = self.manifests.borrow().get(&key).cloned() else {
+                return plain(StatusCode::NOT_FOUND);
+            };
+            let mut response = Response::new(whole(bytes));
+            let kind = header::HeaderValue::from_static(MANIFEST_TYPE);
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            return response;
+        }
+        let digest: Option<Digest> = rest.rsplit_once("/blobs/").and_then(|(_, d)| d.parse().ok());
+        let Some(digest) = digest else { return plain(StatusCode::NOT_FOUND) };
+        let range = request.headers().get(header::RANGE).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        self.blob(digest, range).await
+    }
+
+    async fn blob(self: Rc<Self>, digest: Digest, range: Option<String>) -> Response<Sending> {
+        *self.requests.borrow_mut().entry(digest).or_default() += 1;
+        let Some(mut bytes) = self.blobs.borrow().get(&digest).cloned() else {
+            return plain(StatusCode::NOT_FOUND);
+        };
+        let faults = self.faults.borrow().clone();
+        let chance = |share: f64| share > 0.0 && self.rng.borrow_mut().f64() < share;
+        if chance(faults.refuses) || self.in_hand.get() >= self.limit.get() {
+            self.refused.set(self.refused.get() + 1);
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
+            response.headers_mut().insert(header::RETRY_AFTER, 1.into());
+            return response;
+        }
+        let (cut, stalls, lies) = (chance(faults.cuts), chance(faults.stalls), chance(faults.lies));
+        self.in_hand.set(self.in_hand.get() + 1);
+        let held = Some(InHand(self.clone()));
+        let crowd = (self.in_hand.get() as f64 / self.full_pace).max(1.0);
+        let seconds = 0.01 + bytes.len() as f64 / self.bytes_per_second * crowd;
+        tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        if faults.damaged.contains(&digest) {
+            let mut bent = bytes.to_vec();
+            let middle = bent.len() / 2;
+            bent[middle] ^= 1;
+            bytes = bent.into();
+        }
+        let mut status = StatusCode::OK;
+        if let Some(from) =
+            range.and_then(|r| r.strip_prefix("bytes=")?.strip_suffix('-')?.parse::<usize>().ok())
+        {
+            if from >= bytes.len() {
+                return plain(StatusCode::RANGE_NOT_SATISFIABLE);
+            }
+            (bytes, status) = (bytes.slice(from..), StatusCode::PARTIAL_CONTENT);
+        }
+        let length = bytes.len() as u64 + if lies { 1_000 } else { 0 };
+        let ending = match (cut || lies, stalls) {
+            (true, _) => Ending::CutOff,
+            (false, true) => Ending::Stalled,
+            (false, false) => Ending::Whole,
+        };
+        let sent = if matches!(ending, Ending::Whole) { bytes.len() } else { bytes.len() / 2 };
+        self.bytes_sent.set(self.bytes_sent.get() + sent as u64);
+        let mut response =
+            Response::new(Sending { parts: vec![bytes.slice(..sent)], length, ending, _held: held });
+        *response.status_mut() = status;
+        response
+    }
+}
