--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -43,6 +43,10 @@
         Self { network, kept: RefCell::default() }
     }
 
+    pub fn clear(&self) {
+        self.kept.borrow_mut().clear();
+    }
+
     async fn connection(&self, to: &Address) -> Result<SendRequest<Empty<Bytes>>, String> {
         loop {
             let kept = self.kept.borrow_mut().get_mut(to).and_then(Vec::pop);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 use tracing::{debug, warn};
 
 /// Chunks that the cache could not keep, held in memory for the loads that wait: no more than this.
@@ -120,6 +120,7 @@
     pub(crate) state: RefCell<State>,
     pub(crate) moved: Notify,
     pub counts: Counts,
+    tasks: RefCell<JoinSet<()>>,
 }
 
 /// Abandons a load that is not waited for any more.
@@ -173,7 +174,8 @@
             risen: 1.0,
         };
         let (pool, state) = (Pool::new(network), RefCell::new(state));
-        Rc::new(Self { seat, cache, clock, pool, state, moved: Notify::new(), counts: Counts::default() })
+        let (moved, counts, tasks) = (Notify::new(), Counts::default(), RefCell::default());
+        Rc::new(Self { seat, cache, clock, pool, state, moved, counts, tasks })
     }
 
     /// The list of invokers as it is now, ourselves among them.
@@ -311,6 +313,18 @@
         Err(Fault::Unreachable { model, why: last })
     }
 
+    pub(crate) fn spawn(&self, work: impl Future<Output = ()> + 'static) -> AbortHandle {
+        let mut tasks = self.tasks.borrow_mut();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn_local(work)
+    }
+
+    /// Ends all that it does, as the end of its process would: nothing is said to anybody.
+    pub fn kill(&self) {
+        self.tasks.borrow_mut().abort_all();
+        self.pool.clear();
+    }
+
     /// Lets the plan say what is next, and does it.
     pub(crate) fn go_on(self: &Rc<Self>) {
         let now = self.clock.now();
@@ -322,14 +336,14 @@
         }
         for ask in next.asks {
             let this = self.clone();
-            let task = tokio::task::spawn_local(async move { this.ask(ask).await });
-            self.state.borrow_mut().asks.insert(ask.attempt, task.abort_handle());
+            let task = self.spawn(async move { this.ask(ask).await });
+            self.state.borrow_mut().asks.insert(ask.attempt, task);
         }
         let state = &mut *self.state.borrow_mut();
         if let Some(at) = next.wake.filter(|at| state.wake <= now || *at < state.wake) {
             state.wake = at;
             let this = self.clone();
-            tokio::task::spawn_local(async move {
+            self.spawn(async move {
                 this.clock.sleep_until(at).await;
                 if this.state.borrow().wake == at {
                     this.state.borrow_mut().wake = 0;
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -86,7 +86,7 @@
                 continue;
             };
             let this = self.clone();
-            tokio::task::spawn_local(async move {
+            self.spawn(async move {
                 let answer = service_fn(move |request| {
                     let this = this.clone();
                     async move { Ok::<_, Infallible>(this.answer(request).await) }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -104,6 +104,7 @@
             tokens: Default::default(),
             seed: fastrand::u64(..),
             fetch_share: 0.6,
+            layers: None,
         };
         let invoker = Invoker::new(site);
         invoker.fault(|f, _| *f = faults);
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod traffic;
 
 pub use check::{Finding, State, Verdict};
-pub use script::Day;
+pub use script::{Day, Layers};
 pub use stage::{Serve, play_on_sockets, play_virtually, serve};
 
 /// Days that come with the program, by name.
@@ -21,5 +21,6 @@
     ("most-of-a-fleet-goes", include_str!("../days/most-of-a-fleet-goes.star")),
     ("one-tenant-floods", include_str!("../days/one-tenant-floods.star")),
     ("misses-burn-tries", include_str!("../days/misses-burn-tries.star")),
+    ("layers-day", include_str!("../days/layers-day.star")),
     ("answers-lost", include_str!("../days/answers-lost.star")),
 ];
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,10 +1,21 @@
 //! A day as its script states it.
 
 use saltdrum::port::Tenths;
-use saltdrum_deployment::units::Span;
+use saltdrum_deployment::units::{Memory, Span};
 use saltdrum_deployment::{Fault, Statement, Terms, script};
 use serde::Deserialize;
 
+/// How models reach invokers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Layers {
+    /// Whole, from the plain store.
+    Off,
+    /// In chunks; every invoker asks the store for itself. The baseline.
+    Alone,
+    /// In chunks, each fetched once and shared.
+    Shared,
+}
+
 #[derive(Clone, Debug)]
 pub struct Day {
     pub name: String,
@@ -19,6 +30,9 @@
     /// So late is the list with what happens.
     pub list_notice: Tenths,
     pub store_limit: usize,
+    pub layers: Layers,
+    /// Of a model that stands for each function's, which would be thousands of times larger.
+    pub model_bytes: usize,
     pub traffic: Vec<Traffic>,
     pub troubles: Vec<Trouble>,
 }
@@ -134,6 +148,17 @@
     list_notice: Span,
     #[serde(default = "limit")]
     store_limit: usize,
+    #[serde(default = "off")]
+    layers: String,
+    #[serde(default = "model")]
+    model: Memory,
+}
+
+fn off() -> String {
+    "off".into()
+}
+fn model() -> Memory {
+    Memory(2.0)
 }
 
 fn four() -> u32 {
@@ -215,7 +240,20 @@
         if terms.invokers.is_empty() {
             return Err(at("no invokers(...) are stated"));
         }
+        let layers = match said.layers.as_str() {
+            "off" => Layers::Off,
+            "alone" => Layers::Alone,
+            "shared" => Layers::Shared,
+            other => {
+                return Err(stated.fault(format!("layers '{other}': one of off, alone, shared is expected")));
+            }
+        };
+        if !(0.1..=64.0).contains(&said.model.0) {
+            return Err(stated.fault("model: 0.1MB to 64MB are expected"));
+        }
         let mut day = Self {
+            layers,
+            model_bytes: (said.model.0 * 1e6) as usize,
             name: said.name,
             length: said.length.0,
             seed: said.seed,
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -2,17 +2,19 @@
 //! one. Brings the troubles when their time comes.
 
 use crate::clients::Clients;
-use crate::script::{Day, Kind, Trouble};
+use crate::script::{Day, Kind, Layers, Trouble};
 use crate::traffic;
 use saltdrum::port::{Effect, SECOND, Scope, Tenths};
+use saltdrum_agent::{Counts, Peer};
 use saltdrum_controller::{Seat, by_design};
 use saltdrum_deployment::Terms;
+use saltdrum_layers::plan::Member;
 use saltdrum_link::{Address, Clock, Memory, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::Life;
-use saltdrum_standin::invoker::{Site, Tokens};
+use saltdrum_standin::invoker::{self, Site, Tokens};
 use saltdrum_standin::record::{self, Line, Record, Who};
-use saltdrum_standin::{Invoker, List, Store};
-use std::cell::RefCell;
+use saltdrum_standin::{Invoker, List, Registry, Store};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
@@ -60,6 +62,10 @@
     invokers: BTreeMap<u32, Rc<Invoker>>,
     store: Rc<Store>,
     list: Rc<List>,
+    registry: Rc<Registry>,
+    /// What invokers hear of each other, as late as controllers do.
+    known: RefCell<BTreeMap<u32, Life>>,
+    layers: Cell<[u64; 5]>,
     list_address: Address,
     clients: Rc<Clients>,
     chairs: RefCell<BTreeMap<u32, Chair>>,
@@ -136,6 +142,23 @@
     let (store, store_address) =
         Store::open(network.clone(), clock, record.clone(), &any("store"), day.store_limit).await?;
     let (list, list_address) = List::open(network.clone(), clock, record.clone(), &any("list")).await?;
+    let registry = Registry::new(day.store_limit, day.seed);
+    let registry_address = registry.open(&*network, &any("registry")).await?;
+    // What folders hold is gone with the day.
+    let cellar =
+        std::env::temp_dir().join(format!("saltdrum-layers-{}-{:x}", std::process::id(), fastrand::u64(..)));
+    if day.layers != Layers::Off {
+        for f in day.terms.functions.values() {
+            let mut rng = fastrand::Rng::with_seed(f.id);
+            let model: Vec<u8> = (0..day.model_bytes).map(|_| rng.u8(..)).collect();
+            registry.push(&f.name, "current", &model)?;
+        }
+        // One model at full pace takes as long as the fetch of a mean load.
+        let loads = day.terms.functions.values().map(|f| f.load.unwrap_or(SECOND) as f64 / SECOND as f64);
+        let mean = loads.sum::<f64>() / day.terms.functions.len() as f64;
+        registry.bytes_per_second.set(day.model_bytes as f64 / (FETCH_SHARE * mean));
+        registry.full_pace.set(FULL_PACE);
+    }
     let (terms, tokens) = (Rc::new(day.terms.clone()), Tokens::default());
     let mut invokers = BTreeMap::new();
     for stated in &day.terms.invokers {
@@ -150,7 +173,13 @@
             store: Some(store_address.clone()),
             tokens: tokens.clone(),
             seed: day.seed ^ (u64::from(stated.invoker) << 32),
-            fetch_share: 0.6,
+            fetch_share: FETCH_SHARE,
+            layers: (day.layers != Layers::Off).then(|| invoker::Layers {
+                folder: cellar.join(stated.invoker.to_string()),
+                cache_bytes: 1 << 30,
+                registry: registry_address.clone(),
+                at: RefCell::new(any(&format!("agent-{}", stated.invoker))),
+            }),
         };
         let invoker = Invoker::new(site);
         // It has been up for long: some of what is asked for stands already.
@@ -174,19 +203,34 @@
         invokers,
         store,
         list,
+        registry,
+        known: RefCell::default(),
+        layers: Cell::default(),
         list_address,
         clients,
         chairs: RefCell::default(),
         lives: RefCell::default(),
         ended: RefCell::default(),
     });
+    for invoker in stage.invokers.keys() {
+        stage.known.borrow_mut().insert(*invoker, Life::Ready);
+    }
+    let telling = stage.clone();
+    let telling = tokio::task::spawn_local(async move { telling.tell_peers().await });
     for controller in 1..=stage.day.terms.deployment.controllers {
         stage.seat(controller)?;
     }
     stage.clone().run().await;
-    stage.strike()
+    telling.abort();
+    let lines = stage.strike();
+    let _ = std::fs::remove_dir_all(&cellar);
+    lines
 }
 
+/// Share of a load that is the fetch, and fetches that the store serves at full pace.
+const FETCH_SHARE: f64 = 0.6;
+const FULL_PACE: f64 = 6.0;
+
 impl Stage {
     fn at(&self, offset: Tenths) -> Tenths {
         self.start + offset
@@ -344,12 +388,68 @@
         tokio::time::sleep(Duration::from_micros(span * 100)).await;
     }
 
+    /// Invokers follow the list too; here they are told what it says twice a second.
+    async fn tell_peers(&self) {
+        let d = &self.day.terms.deployment;
+        if self.day.layers == Layers::Off {
+            return;
+        }
+        loop {
+            let peer = |(id, life): (&u32, &Life)| {
+                let i = &self.invokers[id];
+                let age = i.entry(*life).age_tenths as f64 / d.cold_time.max(1) as f64;
+                let member = Member {
+                    invoker: *id,
+                    size: f64::from(self.day.terms.size(i.site.stated.kind)),
+                    risen: (d.cold_share + (1.0 - d.cold_share) * age).min(1.0),
+                    ready: *life == Life::Ready,
+                };
+                Some(Peer { member, address: i.site.layers.as_ref()?.at.borrow().clone() })
+            };
+            let all: Vec<Peer> = self.known.borrow().iter().filter_map(peer).collect();
+            for (id, i) in &self.invokers {
+                match self.day.layers {
+                    Layers::Shared => i.peers(&all),
+                    _ => {
+                        i.peers(&all.iter().filter(|p| p.member.invoker == *id).cloned().collect::<Vec<_>>())
+                    }
+                }
+            }
+            self.sleep(SECOND / 2).await;
+        }
+    }
+
+    fn say(&self, invoker: u32, life: Life) {
+        self.list.say(self.invokers[&invoker].entry(life));
+        match life {
+            Life::Gone => drop(self.known.borrow_mut().remove(&invoker)),
+            life => drop(self.known.borrow_mut().insert(invoker, life)),
+        }
+    }
+
+    /// The process dies; what its agent counted is kept.
+    fn crash(&self, invoker: u32) {
+        let i = &self.invokers[&invoker];
+        if let Some(agent) = i.agent() {
+            let c: &Counts = &agent.counts;
+            let [a, b, d, e, f] = self.layers.get();
+            self.layers.set([
+                a + c.from_cache.get(),
+                b + c.from_peers.get(),
+                d + c.from_store.get(),
+                e + c.bytes_from_store.get(),
+                f + c.damaged.get() + agent.cache.counts.damaged.get(),
+            ]);
+        }
+        i.crash();
+    }
+
     /// Tells the list, which is late with what it knows.
     fn list_later(self: &Rc<Self>, invoker: u32, life: Life) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
             this.sleep(this.day.list_notice).await;
-            this.list.say(this.invokers[&invoker].entry(life));
+            this.say(invoker, life);
         });
     }
 
@@ -370,9 +470,9 @@
         let struck = || t.invokers.iter().map(|i| &self.invokers[i]);
         match t.kind {
             Kind::Crash => {
-                for i in struck().filter(|i| i.is_up()) {
-                    i.crash();
-                    self.list_later(i.site.stated.invoker, Life::Gone);
+                for i in t.invokers.iter().filter(|i| self.invokers[i].is_up()) {
+                    self.crash(*i);
+                    self.list_later(*i, Life::Gone);
                 }
                 self.sleep(t.lasts).await;
                 for i in &t.invokers {
@@ -441,13 +541,18 @@
             Kind::Flush => struck().for_each(|i| i.flush(t.part)),
             Kind::StoreSlow => {
                 self.store.slowness.set(t.times);
+                self.registry.slowness.set(t.times);
                 self.sleep(t.lasts).await;
                 self.store.slowness.set(1.0);
+                self.registry.slowness.set(1.0);
             }
             Kind::StoreRefuses => {
+                // Of single chunks a share is refused; of whole models all.
                 let limit = self.store.limit.replace(0);
+                self.registry.faults.borrow_mut().refuses = t.part;
                 self.sleep(t.lasts).await;
                 self.store.limit.set(limit);
+                self.registry.faults.borrow_mut().refuses = 0.0;
             }
             Kind::ListLost => {
                 self.list.lose();
@@ -458,11 +563,11 @@
             }
             Kind::Deploy => {
                 for batch in t.invokers.chunks(t.batch) {
-                    batch.iter().for_each(|i| self.list.say(self.invokers[i].entry(Life::Draining)));
+                    batch.iter().for_each(|i| self.say(*i, Life::Draining));
                     self.sleep(t.delay.max(SECOND)).await;
                     for i in batch {
-                        self.invokers[i].crash();
-                        self.list.say(self.invokers[i].entry(Life::Gone));
+                        self.crash(*i);
+                        self.say(*i, Life::Gone);
                     }
                     self.sleep(SECOND / 2).await;
                     for i in batch {
@@ -512,7 +617,23 @@
         for thread in self.ended.borrow_mut().drain(..) {
             lines.extend(thread.join().map_err(|_| io::Error::other("a controller's thread panicked"))?);
         }
-        self.invokers.values().filter(|i| i.is_up()).for_each(|i| i.crash());
+        for i in self.invokers.iter().filter(|(_, i)| i.is_up()).map(|(id, _)| *id) {
+            self.crash(i);
+        }
+        if self.day.layers != Layers::Off {
+            let requests = self.registry.requests.borrow();
+            let [from_cache, from_peers, from_store, bytes_from_store, damaged] = self.layers.get();
+            lines.push(Line::Layers {
+                at: self.clock.now(),
+                chunks: requests.len() as u64,
+                store_requests: requests.values().map(|n| u64::from(*n)).sum(),
+                bytes_from_store,
+                from_cache,
+                from_peers,
+                from_store,
+                damaged,
+            });
+        }
         Ok(lines)
     }
 }
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -50,8 +50,33 @@
     pub fetches_refused: usize,
 }
 
+/// How models reached invokers, on a day with layers.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Layers {
+    /// Distinct ones asked of the store.
+    pub chunks: u64,
+    pub store_requests: u64,
+    pub mb_from_store: f64,
+    pub from_cache: u64,
+    pub from_peers: u64,
+    pub from_store: u64,
+    /// Seen and thrown away.
+    pub damaged: u64,
+}
+
+/// Loads of copies, however their models came.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Loads {
+    pub ended_well: usize,
+    pub failed: usize,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
+    pub loads: Loads,
+    pub layers: Option<Layers>,
     pub day: String,
     pub rows: Vec<Row>,
     /// Share in time of invocations that began while no trouble was on.
@@ -80,6 +105,8 @@
 /// Sums up a record.
 pub fn sum_up(day: &str, lines: &[Line], rules: Vec<Verdict>) -> Summary {
     let mut all: BTreeMap<u64, One> = BTreeMap::new();
+    let (mut loads, mut layers) = (Loads::default(), None);
+    let mut load_times = Histogram::<u64>::new(3).expect("three digits are allowed");
     let (mut tries, mut objective, mut start) = (Tries::default(), BTreeMap::new(), Tenths::MAX);
     let mut fates: BTreeMap<Try, u8> = BTreeMap::new();
     let mut killed = BTreeMap::new();
@@ -111,6 +138,31 @@
                 all.entry(of.n).or_default().hung_up = true;
             }
             Line::Controller { at, who, up: false } => drop(killed.insert(*who, *at)),
+            Line::Loaded { took, ok: true, .. } => {
+                loads.ended_well += 1;
+                load_times += (*took).max(1);
+            }
+            Line::Loaded { ok: false, .. } => loads.failed += 1,
+            Line::Layers {
+                chunks,
+                store_requests,
+                bytes_from_store,
+                from_cache,
+                from_peers,
+                from_store,
+                damaged,
+                ..
+            } => {
+                layers = Some(Layers {
+                    chunks: *chunks,
+                    store_requests: *store_requests,
+                    mb_from_store: *bytes_from_store as f64 / 1e6,
+                    from_cache: *from_cache,
+                    from_peers: *from_peers,
+                    from_store: *from_store,
+                    damaged: *damaged,
+                });
+            }
             Line::Dispatched { .. } => tries.dispatches += 1,
             Line::Ordered { count: 1.., .. } => tries.orders_to_load += 1,
             Line::Fetched { refused, .. } => {
@@ -176,7 +228,11 @@
     }
     let calm: Vec<&&One> =
         of_interest.iter().filter(|o| spans.iter().all(|(a, b)| o.first < *a || o.first >= *b)).collect();
+    let at = |q: f64| load_times.value_at_quantile(q) as f64 / MILLI as f64;
+    (loads.p50_ms, loads.p99_ms) = (at(0.5), at(0.99));
     Summary {
+        loads,
+        layers,
         day: day.into(),
         rows: rows.collect(),
         in_time_calm: share(calm.iter().filter(|o| in_time(o)).count(), calm.len()),
@@ -259,6 +315,24 @@
             n.fetches,
             n.fetches_refused,
         );
+        let l = &self.loads;
+        out += &format!(
+            "{} loads, {} failed, p50 {:.0} ms, p99 {:.0} ms\n",
+            l.ended_well, l.failed, l.p50_ms, l.p99_ms
+        );
+        if let Some(l) = &self.layers {
+            out += &format!(
+                "{} chunks: {} store requests ({:.2} a chunk, {:.1} MB); had from cache {}, peers {}, store {}; {} damaged\n",
+                l.chunks,
+                l.store_requests,
+                l.store_requests as f64 / l.chunks.max(1) as f64,
+                l.mb_from_store,
+                l.from_cache,
+                l.from_peers,
+                l.from_store,
+                l.damaged
+            );
+        }
         for r in &self.rules {
             let state = match r.state {
                 State::Kept => "kept",
--- a/crates/day/tests/days.rs
+++ b/crates/day/tests/days.rs
@@ -229,3 +229,21 @@
         assert!(got.starts_with(say), "{got}");
     }
 }
+
+/// The layers day beside the same day with every invoker asking the store for itself.
+#[test]
+fn shared_layers_ask_the_store_a_fraction_of_what_each_alone_does() {
+    let script = DAYS.iter().find(|d| d.0 == "layers-day").unwrap().1;
+    let play = |script: &str| {
+        let day = Day::load("layers", script).unwrap();
+        let s = holds("layers", &play_virtually(&day, serve).unwrap());
+        (s.layers.clone().unwrap(), s.loads.clone())
+    };
+    let (shared, loads) = play(script);
+    let (alone, _) = play(&script.replace("layers = \"shared\"", "layers = \"alone\""));
+    // Crashes, a store that refuses and a list that is lost are in the day: a herd alone stays under 1.2.
+    assert!(shared.store_requests * 10 <= shared.chunks * 13, "{shared:?}");
+    assert!(shared.store_requests * 2 < alone.store_requests, "{shared:?}\n{alone:?}");
+    assert!(loads.failed == 0 && loads.ended_well > 40 && shared.from_peers > 100, "{loads:?} {shared:?}");
+    assert!((shared.store_requests as usize) < 2 * loads.ended_well, "{loads:?} {shared:?}");
+}
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -4,13 +4,16 @@
 use crate::record::{Line, Record, Try, Who};
 use bytes::BytesMut;
 use saltdrum::port::{Effect, FnId, MILLI, Scope, Tenths};
+use saltdrum_agent::{Agent, Peer, Seat};
 use saltdrum_deployment::{Terms, terms};
+use saltdrum_layers::cache::{Cache, RealDisk};
 use saltdrum_link::{Address, Clock, Half, Network, Outbox, Read, Stream, Turns, halves};
 use saltdrum_protocol::frame::{cut, encode};
 use saltdrum_protocol::invoker as wire;
 use saltdrum_protocol::{list, store};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -56,6 +59,18 @@
     pub seed: u64,
     /// Share of a load that is the fetch.
     pub fetch_share: f64,
+    /// Models come in chunks through an agent, in place of the plain store.
+    pub layers: Option<Layers>,
+}
+
+/// Where an invoker's agent sits.
+pub struct Layers {
+    /// Outlives the process.
+    pub folder: PathBuf,
+    pub cache_bytes: u64,
+    pub registry: Address,
+    /// A port 0 becomes a real one at the first start, and is kept.
+    pub at: RefCell<Address>,
 }
 
 pub struct Invoker {
@@ -81,6 +96,7 @@
     reports: Vec<(Tenths, wire::Load)>,
     rng: fastrand::Rng,
     moved: Rc<Notify>,
+    agent: Option<Rc<Agent>>,
 }
 
 #[derive(Clone)]
@@ -261,6 +277,7 @@
             reports: Vec::new(),
             rng: fastrand::Rng::with_seed(site.seed),
             moved: Rc::default(),
+            agent: None,
         };
         Rc::new(Self {
             site,
@@ -276,6 +293,10 @@
         let at = self.site.at.borrow().clone();
         let (mut door, address) = self.site.network.listen(&at).await?;
         *self.site.at.borrow_mut() = address.clone();
+        let agent = match &self.site.layers {
+            None => None,
+            Some(layers) => Some(self.start_agent(layers).await?),
+        };
         let now = self.site.clock.now();
         let incarnation = {
             let life = &mut *self.life.borrow_mut();
@@ -284,6 +305,7 @@
             life.machine = self.site.machine(now, cold);
             life.machine.hold_from_the_start(holds.iter().copied());
             life.moved = Rc::default();
+            life.agent = agent;
             life.incarnation
         };
         let invoker = self.site.stated.invoker;
@@ -301,6 +323,34 @@
         Ok(address)
     }
 
+    async fn start_agent(&self, layers: &Layers) -> std::io::Result<Rc<Agent>> {
+        let at = layers.at.borrow().clone();
+        let (door, address) = self.site.network.listen(&at).await?;
+        *layers.at.borrow_mut() = address;
+        let cache = Cache::open(&layers.folder, layers.cache_bytes, Rc::new(RealDisk))?;
+        let seat = Seat {
+            me: self.site.stated.invoker,
+            seed: self.site.seed ^ 0xa6e7,
+            store: layers.registry.clone(),
+            serve_bytes_per_second: 200e6,
+        };
+        let agent = Agent::new(seat, cache, self.site.network.clone(), self.site.clock);
+        self.tasks.borrow_mut().spawn_local(agent.clone().serve(door));
+        Ok(agent)
+    }
+
+    /// Its agent, while it is up.
+    pub fn agent(&self) -> Option<Rc<Agent>> {
+        self.life.borrow().agent.clone()
+    }
+
+    /// Tells its agent of the list as it is now.
+    pub fn peers(&self, peers: &[Peer]) {
+        if let Some(agent) = &self.life.borrow().agent {
+            agent.listed(peers);
+        }
+    }
+
     /// The process dies: links, work and copies are gone.
     pub fn crash(&self) {
         self.tasks.borrow_mut().abort_all();
@@ -308,6 +358,9 @@
         let life = &mut *self.life.borrow_mut();
         life.links.clear();
         life.jobs.clear();
+        if let Some(agent) = life.agent.take() {
+            agent.kill();
+        }
         life.up = false;
         let (invoker, incarnation) = (self.site.stated.invoker, life.incarnation);
         self.site.record.note(Line::Invoker { at: now, invoker, incarnation, up: false, cold: false });
@@ -401,6 +454,11 @@
         let stated = self.site.terms.functions.values().find(|f| f.id == function);
         let load = stated.and_then(|f| f.load).unwrap_or(1_000 * MILLI) as f64;
         let usual_tenths = (load * self.site.fetch_share) as Tenths;
+        if let Some(agent) = self.agent() {
+            let name = stated.map_or("none", |f| f.name.as_str());
+            // The copy is in memory from here on; its chunks need not be pinned any more.
+            return agent.load(name, "current").await.is_ok();
+        }
         let Some(store) = &self.site.store else {
             tokio::time::sleep(Duration::from_micros(usual_tenths * 100)).await;
             return true;
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -175,6 +175,17 @@
         function: u64,
         refused: bool,
     },
+    /// By the stage, at the end of a day with layers: what was asked of whom, over all lives of all invokers.
+    Layers {
+        at: Tenths,
+        chunks: u64,
+        store_requests: u64,
+        bytes_from_store: u64,
+        from_cache: u64,
+        from_peers: u64,
+        from_store: u64,
+        damaged: u64,
+    },
     /// By the stage: an invoker started, or ended.
     Invoker {
         at: Tenths,
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -42,8 +42,10 @@
     /// Blobs under way, beyond which it refuses.
     pub limit: Cell<usize>,
     /// Blobs at full pace; beyond, all slow down.
-    pub full_pace: f64,
-    pub bytes_per_second: f64,
+    pub full_pace: Cell<f64>,
+    pub bytes_per_second: Cell<f64>,
+    /// How many times slower than usual.
+    pub slowness: Cell<f64>,
     in_hand: Cell<usize>,
     rng: RefCell<fastrand::Rng>,
     /// Requests for each blob, refused ones among them.
@@ -112,8 +114,9 @@
             blobs: RefCell::default(),
             faults: RefCell::default(),
             limit: Cell::new(limit),
-            full_pace: 8.0,
-            bytes_per_second: 40e6,
+            full_pace: Cell::new(8.0),
+            bytes_per_second: Cell::new(40e6),
+            slowness: Cell::new(1.0),
             in_hand: Cell::new(0),
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             requests: RefCell::default(),
@@ -200,8 +203,8 @@
         let (cut, stalls, lies) = (chance(faults.cuts), chance(faults.stalls), chance(faults.lies));
         self.in_hand.set(self.in_hand.get() + 1);
         let held = Some(InHand(self.clone()));
-        let crowd = (self.in_hand.get() as f64 / self.full_pace).max(1.0);
-        let seconds = 0.01 + bytes.len() as f64 / self.bytes_per_second * crowd;
+        let crowd = (self.in_hand.get() as f64 / self.full_pace.get()).max(1.0) * self.slowness.get();
+        let seconds = 0.01 + bytes.len() as f64 / self.bytes_per_second.get() * crowd;
         tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
         if faults.damaged.contains(&digest) {
             let mut bent = bytes.to_vec();
