--- a/crates/agent/tests/fleet.rs
+++ b/crates/agent/tests/fleet.rs
@@ -138,6 +138,18 @@
     });
 }
 
+/// Never silent for long, and never done: the ask is given up, and the next one meets a store that is well.
+#[test]
+fn a_store_that_trickles_holds_nobody_for_long() {
+    virtually(async {
+        let f = fleet(5, 1 << 30).await;
+        f.registry.push("voices/kinyarwanda", "current", &model(8, MODEL)).unwrap();
+        f.registry.faults.borrow_mut().trickles = 0.3;
+        let took = f.herd("current").await;
+        assert!(took > Duration::from_secs(9) && took < Duration::from_secs(60), "{took:?}");
+    });
+}
+
 #[test]
 fn damage_at_the_store_at_a_home_and_on_disk_is_never_used() {
     virtually(async {
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -14,6 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -29,6 +30,8 @@
     pub cuts: f64,
     /// Nothing more after half the body.
     pub stalls: f64,
+    /// A byte a second, for ever.
+    pub trickles: f64,
     /// A length that is not the body's.
     pub lies: f64,
     /// These come with a byte changed.
@@ -58,6 +61,8 @@
     Whole,
     CutOff,
     Stalled,
+    /// What is left, and when its next byte goes.
+    Trickles(Bytes, Pin<Box<tokio::time::Sleep>>),
 }
 
 struct Sending {
@@ -81,13 +86,21 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match (self.parts.pop(), &self.ending) {
-            (Some(part), _) => Poll::Ready(Some(Ok(Frame::data(part)))),
-            (None, Ending::Whole) => Poll::Ready(None),
-            (None, Ending::CutOff) => Poll::Ready(Some(Err(io::Error::other("told to cut off")))),
-            (None, Ending::Stalled) => Poll::Pending,
+        if let Some(part) = self.parts.pop() {
+            return Poll::Ready(Some(Ok(Frame::data(part))));
+        }
+        match &mut self.ending {
+            Ending::Whole => Poll::Ready(None),
+            Ending::CutOff => Poll::Ready(Some(Err(io::Error::other("told to cut off")))),
+            Ending::Stalled => Poll::Pending,
+            Ending::Trickles(left, due) => {
+                std::task::ready!(due.as_mut().poll(cx));
+                due.as_mut().reset(tokio::time::Instant::now() + Duration::from_secs(1));
+                let byte = left.split_to(1.min(left.len()));
+                Poll::Ready((!byte.is_empty()).then(|| Ok(Frame::data(byte))))
+            }
         }
     }
 
@@ -201,6 +214,7 @@
             return response;
         }
         let (cut, stalls, lies) = (chance(faults.cuts), chance(faults.stalls), chance(faults.lies));
+        let trickles = chance(faults.trickles);
         self.in_hand.set(self.in_hand.get() + 1);
         let held = Some(InHand(self.clone()));
         let crowd = (self.in_hand.get() as f64 / self.full_pace.get()).max(1.0) * self.slowness.get();
@@ -222,7 +236,9 @@
             (bytes, status) = (bytes.slice(from..), StatusCode::PARTIAL_CONTENT);
         }
         let length = bytes.len() as u64 + if lies { 1_000 } else { 0 };
+        let slowly = || Box::pin(tokio::time::sleep(Duration::from_secs(1)));
         let ending = match (cut || lies, stalls) {
+            _ if trickles => Ending::Trickles(bytes.slice(bytes.len() / 2..), slowly()),
             (true, _) => Ending::CutOff,
             (false, true) => Ending::Stalled,
             (false, false) => Ending::Whole,
