The stop test waits until every thread stands still

A stop signal takes hold late on a busy machine, and the test then failed once in a while: messages meant for a stopped controller were read by a running one. It now waits until each thread of the process is stopped.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -44,6 +44,18 @@
         running
     }
 
+    /// Stops it, and returns when each of its threads stands still.
+    fn stop(&self) {
+        self.signal(Signal::STOP);
+        let stopped = |task: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap();
+            stat.rsplit(')').next().unwrap().trim_start().starts_with('T')
+        };
+        while !std::fs::read_dir(format!("/proc/{}/task", self.0.id())).unwrap().all(stopped) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
     }
@@ -113,7 +125,7 @@
     }
     std::thread::sleep(Duration::from_millis(100));
     let controller = site.running.last().unwrap();
-    controller.signal(Signal::STOP);
+    controller.stop();
     for n in 10..20 {
         client.write_all(invoke(json!(n), 10, 1_500).as_bytes()).unwrap();
         client.write_all(invoke(json!(n + 10), 10, 7_000).as_bytes()).unwrap();
@@ -133,9 +145,9 @@
     let reply: Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
     assert_eq!(reply["id"], "s", "nothing else was on its way: {reply}");
     let count = |name: &str| reply["result"][name].as_u64().unwrap();
-    // The signal may take hold a message late: that one was taken, and its answer came too late to be sent.
+    // A slow machine may have stopped it before it read the first ten: those are stale then as well.
     assert_eq!((count("taken") + count("stale"), count("stale") + count("too_late")), (31, 20), "{reply}");
-    assert!(count("stale") > 5, "{reply}");
+    assert!(count("stale") >= 10, "{reply}");
 }
 
 #[test]
