Hang-ups take back what has not left; given-up dispatches are kept once

A dispatch still queued when its client hung up was sent all the same, with a cancel behind it: it is withdrawn now and told as never run. Each link kept every ended dispatch in a second list, up to 100,000 numbers (0.8 MB a link, 67 MB at 84 links): numbers rise, so the set alone tells which is oldest.

--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -292,12 +292,14 @@
         let Some(inv) = self.desk.invs.get_mut(&id) else { return };
         inv.reply = None;
         self.desk.counts.left += 1;
-        let out: Vec<(InvokerId, u64)> = inv.out.values().map(|o| (o.invoker, o.dispatch)).collect();
-        if self.desk.terms.deployment.may_cancel {
-            for (invoker, dispatch) in out {
-                if let Some(link) = self.desk.links.get_mut(&invoker) {
-                    link.cancel(dispatch);
-                }
+        let out: Vec<(u8, InvokerId, u64)> =
+            inv.out.iter().map(|(hop, o)| (*hop, o.invoker, o.dispatch)).collect();
+        for (hop, invoker, dispatch) in out {
+            let Some(link) = self.desk.links.get_mut(&invoker) else { continue };
+            if link.withdraw(dispatch) {
+                self.desk.after(Box::new(move |state| state.ended(id, hop, Outcome::NotSent, None)));
+            } else if self.desk.terms.deployment.may_cancel {
+                link.cancel(dispatch);
             }
         }
         self.module.left(self.desk.now, id);
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -8,7 +8,7 @@
 use saltdrum_protocol::frame::{Message, cut, encode};
 use saltdrum_protocol::invoker as wire;
 use saltdrum_protocol::list::Entry;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -50,7 +50,7 @@
     phase: Phase,
     outbox: Outbox,
     out: BTreeMap<u64, Sent>,
-    given_up: (BTreeSet<u64>, VecDeque<u64>),
+    given_up: BTreeSet<u64>,
     last: u64,
     /// Rule 3: nothing new leaves from then on, not even what waited.
     cutoff: Tenths,
@@ -144,11 +144,9 @@
     /// Its dispatch has ended for us; an answer may still be on its way.
     pub fn forget(&mut self, dispatch: u64) {
         if self.out.remove(&dispatch).is_some() {
-            self.given_up.0.insert(dispatch);
-            self.given_up.1.push_back(dispatch);
-            if self.given_up.1.len() > GIVEN_UP_MOST {
-                let oldest = self.given_up.1.pop_front();
-                oldest.map(|d| self.given_up.0.remove(&d));
+            self.given_up.insert(dispatch);
+            if self.given_up.len() > GIVEN_UP_MOST {
+                self.given_up.pop_first();
             }
         }
     }
@@ -366,7 +364,7 @@
     match message {
         wire::FromInvoker::Answer(a) => {
             let Some(sent) = link.out.get(&a.dispatch) else {
-                if link.given_up.0.remove(&a.dispatch) {
+                if link.given_up.remove(&a.dispatch) {
                     return Ok(());
                 }
                 return Err(format!("an answer for dispatch {}, which is not out", a.dispatch));
@@ -391,7 +389,7 @@
             state.ended(inv, hop, outcome, Some(&a));
             if let Some(link) = state.desk.links.get_mut(&invoker) {
                 // Its one answer is here: a second would be a lie.
-                link.given_up.0.remove(&a.dispatch);
+                link.given_up.remove(&a.dispatch);
             }
         }
         wire::FromInvoker::Held(h) => {
