An agent forgets chunks that no load waits for

What an agent knew of a chunk stayed for ever when its load was given up. It goes with the last load that waits for it. The fleets of the agent's tests pass.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -134,10 +134,12 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let mut state = self.agent.state.borrow_mut();
-        state.whole.remove(&self.load);
-        state.fetcher.abandon(self.load);
-        drop(state);
+        {
+            let state = &mut *self.agent.state.borrow_mut();
+            state.whole.remove(&self.load);
+            state.fetcher.abandon(self.load);
+            state.wanted.retain(|digest, _| state.fetcher.wants(digest));
+        }
         self.agent.go_on();
     }
 }
--- a/crates/layers/src/plan/fetch.rs
+++ b/crates/layers/src/plan/fetch.rs
@@ -408,6 +408,11 @@
         }
     }
 
+    /// Whether any load waits for it.
+    pub fn wants(&self, digest: &Digest) -> bool {
+        self.wants.contains_key(digest)
+    }
+
     /// The chunk that an ask still out is for.
     pub fn asked_for(&self, attempt: u64) -> Option<Digest> {
         self.out.get(&attempt).map(|o| o.digest)
