--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line: arguments, logs and exit codes, nothing else.
 
+#![expect(clippy::disallowed_methods, reason = "seeds and times of what runs for real come from here")]
+
 mod layers;
 mod run;
 
--- a/crates/day/examples/beside-relay.rs
+++ b/crates/day/examples/beside-relay.rs
@@ -5,6 +5,8 @@
 //! The controller is a process of its own; invokers that answer at once, the list and the clients share this one's
 //! threads. Rounds alternate, and what is quoted is the median of each figure and of its ratio within a round.
 
+#![expect(clippy::disallowed_methods, reason = "it is this machine's time that is asked for")]
+
 use bytes::BytesMut;
 use hdrhistogram::Histogram;
 use saltdrum_link::{Address, Clock, Listener, Network, Sockets};
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -22,5 +22,6 @@
     ("one-tenant-floods", include_str!("../days/one-tenant-floods.star")),
     ("misses-burn-tries", include_str!("../days/misses-burn-tries.star")),
     ("layers-day", include_str!("../days/layers-day.star")),
+    ("bad-network", include_str!("../days/bad-network.star")),
     ("answers-lost", include_str!("../days/answers-lost.star")),
 ];
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -33,10 +33,25 @@
     pub layers: Layers,
     /// Of a model that stands for each function's, which would be thousands of times larger.
     pub model_bytes: usize,
+    pub network: Network,
     pub traffic: Vec<Traffic>,
     pub troubles: Vec<Trouble>,
 }
 
+/// What lies between hosts in virtual time. On the machine's own sockets it is what it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Network {
+    pub delay: Tenths,
+    /// Up to so much more.
+    pub jitter: Tenths,
+    /// Of each host's way out; 0: no bound.
+    pub bytes_per_second: f64,
+    /// Controllers' clocks are ahead by up to so much,
+    pub clocks_ahead: Tenths,
+    /// and run fast or slow by up to so many millionths.
+    pub clocks_drift: u32,
+}
+
 /// Load of one tenant.
 #[derive(Clone, Debug)]
 pub struct Traffic {
@@ -80,6 +95,8 @@
     HalfFrames,
     BadInput,
     ListLost,
+    LineCut,
+    LineSlow,
 }
 
 const KINDS: &[(&str, Kind)] = &[
@@ -107,6 +124,8 @@
     ("half_frames", Kind::HalfFrames),
     ("bad_input", Kind::BadInput),
     ("list_lost", Kind::ListLost),
+    ("line_cut", Kind::LineCut),
+    ("line_slow", Kind::LineSlow),
 ];
 
 #[derive(Clone, Debug)]
@@ -129,6 +148,8 @@
     pub delay: Tenths,
     /// Struck at a time, in a deploy or a roll.
     pub batch: usize,
+    /// Of a line's two ways, from controllers to invokers and back.
+    pub ways: (bool, bool),
 }
 
 #[derive(Deserialize)]
@@ -213,6 +234,23 @@
     delay: Option<Span>,
     #[serde(default = "batch")]
     batch: usize,
+    one_way: Option<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct SaidNetwork {
+    #[serde(default)]
+    delay: Span,
+    #[serde(default)]
+    jitter: Span,
+    /// In a second.
+    #[serde(default)]
+    bandwidth: Memory,
+    #[serde(default)]
+    clocks_ahead: Span,
+    #[serde(default)]
+    clocks_drift_ppm: u32,
 }
 
 fn batch() -> usize {
@@ -254,6 +292,7 @@
         let mut day = Self {
             layers,
             model_bytes: (said.model.0 * 1e6) as usize,
+            network: Network::default(),
             name: said.name,
             length: said.length.0,
             seed: said.seed,
@@ -266,6 +305,23 @@
             troubles: Vec::new(),
             terms,
         };
+        let mut networks = rest.iter().filter(|s| s.what == "network");
+        if let Some(s) = networks.next() {
+            let said: SaidNetwork = s.read()?;
+            if said.clocks_drift_ppm > 10_000 {
+                return Err(s.fault("clocks_drift_ppm: 0 to 10000 are expected"));
+            }
+            day.network = Network {
+                delay: said.delay.0,
+                jitter: said.jitter.0,
+                bytes_per_second: said.bandwidth.0 * 1e6,
+                clocks_ahead: said.clocks_ahead.0,
+                clocks_drift: said.clocks_drift_ppm,
+            };
+        }
+        if let Some(second) = networks.next() {
+            return Err(second.fault("stated a second time"));
+        }
         for s in rest.iter().filter(|s| s.what == "traffic") {
             let traffic = day.one_traffic(s)?;
             day.traffic.push(traffic);
@@ -316,14 +372,28 @@
             kind,
             Kind::Crash | Kind::Slow | Kind::Hang | Kind::Ageing | Kind::StuckSockets | Kind::HalfFrames
         );
-        let strikes_controllers =
-            matches!(kind, Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall);
+        let strikes_controllers = matches!(
+            kind,
+            Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall | Kind::LineCut
+        );
         if strikes_invokers && said.invokers.is_none() {
             return Err(need("invokers = [...]"));
         }
         if strikes_controllers && said.controllers.is_none() {
             return Err(need("controllers = [...]"));
         }
+        if kind == Kind::LineSlow && said.delay.is_none() {
+            return Err(need("delay"));
+        }
+        let ways = match said.one_way.as_deref() {
+            None => (true, true),
+            Some("to_invokers") => (true, false),
+            Some("to_controllers") => (false, true),
+            Some(other) => {
+                let why = format!("one_way '{other}': to_invokers or to_controllers is expected");
+                return Err(s.fault(why));
+            }
+        };
         if matches!(kind, Kind::Slow | Kind::StoreSlow | Kind::HeavyTail) && said.times.is_none() {
             return Err(need("times"));
         }
@@ -350,8 +420,9 @@
         if let Some(bad) = invokers.iter().find(|i| !(1..=most).contains(i)) {
             return Err(s.fault(format!("invoker {bad}: 1 to {most} are stated")));
         }
-        let controllers = said.controllers.unwrap_or_default();
         let most = self.terms.deployment.controllers;
+        let all = if kind == Kind::LineSlow { (1..=most).collect() } else { Vec::new() };
+        let controllers = said.controllers.unwrap_or(all);
         if let Some(bad) = controllers.iter().find(|c| !(1..=most).contains(c)) {
             return Err(s.fault(format!("controller {bad}: 1 to {most} are stated")));
         }
@@ -369,6 +440,7 @@
             times: said.times.unwrap_or(1.0),
             delay: said.delay.unwrap_or_default().0,
             batch: said.batch.max(1),
+            ways,
         })
     }
 }
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -8,8 +8,9 @@
 use saltdrum_agent::{Counts, Peer};
 use saltdrum_controller::{Seat, by_design};
 use saltdrum_deployment::Terms;
+use saltdrum_ether::{Ether, Hold, Line as Wire, Lines, stoppable};
 use saltdrum_layers::plan::Member;
-use saltdrum_link::{Address, Clock, Memory, Network, Sockets, Turns, turning};
+use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::Life;
 use saltdrum_standin::invoker::{self, Site, Tokens};
 use saltdrum_standin::record::{self, Line, Record, Who};
@@ -30,13 +31,23 @@
 enum Cast {
     /// Each on a thread of its own, on the machine's sockets; files for sockets go into the folder.
     Threads(std::path::PathBuf),
-    /// All on this thread, on in-memory streams.
-    Virtual,
+    /// All on this thread, on streams of an emulated network.
+    Virtual(Ether),
+}
+
+impl Cast {
+    /// The network as a host of this name sees it.
+    fn host(&self, name: &str) -> Rc<dyn Network> {
+        match self {
+            Self::Threads(_) => Rc::new(Sockets),
+            Self::Virtual(ether) => ether.host(name),
+        }
+    }
 }
 
 enum Chair {
     Thread { stop: mpsc::UnboundedSender<Duration>, thread: std::thread::JoinHandle<Vec<Line>> },
-    Task(JoinHandle<()>),
+    Task { hold: Hold, task: JoinHandle<()> },
 }
 
 /// Runs a controller in its seat until dropped.
@@ -55,7 +66,6 @@
     serve: Serve,
     day: Rc<Day>,
     cast: Cast,
-    network: Rc<dyn Network>,
     clock: Clock,
     record: Record,
     start: Tenths,
@@ -76,14 +86,13 @@
 /// Plays a day on the machine's sockets.
 pub fn play_on_sockets(day: &Day, folder: &Path) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let cast = Cast::Threads(folder.to_owned());
-    LocalSet::new().block_on(&runtime, play(day.clone(), cast, Rc::new(Sockets), serve))
+    LocalSet::new().block_on(&runtime, play(day.clone(), Some(folder), serve))
 }
 
 /// Plays a day in virtual time, on in-memory streams.
 pub fn play_virtually(day: &Day, serve: Serve) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
-    LocalSet::new().block_on(&runtime, play(day.clone(), Cast::Virtual, Rc::new(Memory::default()), serve))
+    LocalSet::new().block_on(&runtime, play(day.clone(), None, serve))
 }
 
 fn stated(terms: &Terms) -> record::Stated {
@@ -128,8 +137,17 @@
 }
 
 /// Plays a day on the `LocalSet` this is called on, and gives the record, in order of time.
-async fn play(day: Day, cast: Cast, network: Rc<dyn Network>, serve: Serve) -> io::Result<Vec<Line>> {
+async fn play(day: Day, folder: Option<&Path>, serve: Serve) -> io::Result<Vec<Line>> {
     let (clock, record, turns) = (Clock::start(), Record::default(), Turns::default());
+    let cast = match folder {
+        Some(folder) => Cast::Threads(folder.to_owned()),
+        None => {
+            let n = &day.network;
+            let line = Wire { delay: n.delay, jitter: n.jitter };
+            let lines = Lines::new(line, n.bytes_per_second, day.seed ^ 0xe7e4);
+            Cast::Virtual(Ether::new(clock, lines, turns.clone()))
+        }
+    };
     record.note(Line::Stated(stated(&day.terms)));
     let noted = record.clone();
     tokio::task::spawn_local(turning(turns.clone(), clock, move |now, gap| {
@@ -137,16 +155,15 @@
     }));
     let any = |name: &str| match &cast {
         Cast::Threads(_) => Address::Tcp("127.0.0.1:0".into()),
-        Cast::Virtual => Address::Memory(name.into()),
+        Cast::Virtual(_) => Address::Memory(name.into()),
     };
     let (store, store_address) =
-        Store::open(network.clone(), clock, record.clone(), &any("store"), day.store_limit).await?;
-    let (list, list_address) = List::open(network.clone(), clock, record.clone(), &any("list")).await?;
+        Store::open(cast.host("store"), clock, record.clone(), &any("store"), day.store_limit).await?;
+    let (list, list_address) = List::open(cast.host("list"), clock, record.clone(), &any("list")).await?;
     let registry = Registry::new(day.store_limit, day.seed);
-    let registry_address = registry.open(&*network, &any("registry")).await?;
+    let registry_address = registry.open(&*cast.host("store"), &any("registry")).await?;
     // What folders hold is gone with the day.
-    let cellar =
-        std::env::temp_dir().join(format!("saltdrum-layers-{}-{:x}", std::process::id(), fastrand::u64(..)));
+    let cellar = tempfile::Builder::new().prefix("saltdrum-layers-").tempdir()?;
     if day.layers != Layers::Off {
         for f in day.terms.functions.values() {
             let mut rng = fastrand::Rng::with_seed(f.id);
@@ -165,7 +182,7 @@
         let site = Site {
             terms: terms.clone(),
             stated: stated.clone(),
-            network: network.clone(),
+            network: cast.host(&format!("invoker-{}", stated.invoker)),
             clock,
             turns: turns.clone(),
             record: record.clone(),
@@ -175,7 +192,7 @@
             seed: day.seed ^ (u64::from(stated.invoker) << 32),
             fetch_share: FETCH_SHARE,
             layers: (day.layers != Layers::Off).then(|| invoker::Layers {
-                folder: cellar.join(stated.invoker.to_string()),
+                folder: cellar.path().join(stated.invoker.to_string()),
                 cache_bytes: 1 << 30,
                 registry: registry_address.clone(),
                 at: RefCell::new(any(&format!("agent-{}", stated.invoker))),
@@ -191,13 +208,12 @@
         invokers.insert(stated.invoker, invoker);
     }
     let day = Rc::new(day);
-    let clients = Clients::new(day.clone(), network.clone(), clock, turns, record.clone());
+    let clients = Clients::new(day.clone(), cast.host("clients"), clock, turns, record.clone());
     let stage = Rc::new(Stage {
         serve,
         start: clock.now() + SECOND / 2,
         day,
         cast,
-        network,
         clock,
         record,
         invokers,
@@ -223,7 +239,7 @@
     stage.clone().run().await;
     telling.abort();
     let lines = stage.strike();
-    let _ = std::fs::remove_dir_all(&cellar);
+    drop(cellar);
     lines
 }
 
@@ -250,7 +266,7 @@
                 let path = folder.join(format!("controller-{controller}-{incarnation}.sock"));
                 Address::Unix(path.to_string_lossy().into_owned())
             }
-            Cast::Virtual => Address::Memory(format!("controller-{controller}-{incarnation}")),
+            Cast::Virtual(_) => Address::Memory(format!("controller-{controller}-{incarnation}")),
         };
         let zone = self.zone_of(controller);
         let seat = move |terms: Terms, clients: Address, list: Address, seed: u64| Seat {
@@ -304,14 +320,28 @@
                 })?;
                 Chair::Thread { stop, thread }
             }
-            Cast::Virtual => {
-                let network = self.network.clone();
+            Cast::Virtual(ether) => {
+                let network = ether.host(&format!("controller-{controller}"));
                 let seat = seat(terms, address.clone(), list, seed);
-                Chair::Task(tokio::task::spawn_local(async move {
-                    if let Err(e) = serve(seat, network, clock).await {
-                        warn!(controller, %e, "a controller could not serve");
+                let (hold, noted) = (Hold::default(), self.record.clone());
+                let skewed = self.skewed(controller);
+                let living = async move {
+                    let watch = turning(Turns::default(), clock, move |now, gap| {
+                        let thread = format!("controller-{controller}");
+                        noted.note(Line::Disturbed { at: now - gap, until: now, thread });
+                    });
+                    tokio::select! {
+                        biased;
+                        done = serve(seat, network, skewed) => {
+                            if let Err(e) = done {
+                                warn!(controller, %e, "a controller could not serve");
+                            }
+                        }
+                        () = watch => {}
                     }
-                }))
+                };
+                let task = tokio::task::spawn_local(stoppable(hold.clone(), living));
+                Chair::Task { hold, task }
             }
         };
         self.chairs.borrow_mut().insert(controller, chair);
@@ -334,7 +364,7 @@
                 drop(stop);
                 self.ended.borrow_mut().push(thread);
             }
-            Chair::Task(task) => task.abort(),
+            Chair::Task { task, .. } => task.abort(),
         }
         for front in self.clients.fronts.borrow_mut().iter_mut().filter(|f| f.0 == who) {
             front.2 = false;
@@ -342,13 +372,40 @@
     }
 
     fn stall(&self, controller: u32, span: Tenths) {
+        let span = Duration::from_micros(span * 100);
         match self.chairs.borrow().get(&controller) {
-            Some(Chair::Thread { stop, .. }) => drop(stop.send(Duration::from_micros(span * 100))),
-            Some(Chair::Task(_)) => warn!(controller, "a stop can't be played in virtual time: left out"),
+            Some(Chair::Thread { stop, .. }) => drop(stop.send(span)),
+            Some(Chair::Task { hold, .. }) => hold.stop(span),
             None => {}
         }
     }
 
+    /// A controller's own clock. Nothing that it says to others may hang on the hour.
+    fn skewed(&self, controller: u32) -> Clock {
+        let n = &self.day.network;
+        let mut rng = fastrand::Rng::with_seed(self.day.seed ^ 0xc10c ^ (u64::from(controller) << 20));
+        let ahead = Duration::from_micros(rng.u64(0..=n.clocks_ahead) * 100);
+        let drift = i64::from(n.clocks_drift);
+        self.clock.skewed(ahead, rng.i64(-drift..=drift))
+    }
+
+    /// Does something to the lines between the struck controllers and invokers, one way or both.
+    fn lines(&self, t: &Trouble, change: impl Fn(&Ether, &str, &str)) {
+        let Cast::Virtual(ether) = &self.cast else {
+            return warn!(t.name, "the machine's own sockets can't be told to: left out");
+        };
+        for c in t.controllers.iter().map(|c| format!("controller-{c}")) {
+            for i in t.invokers.iter().map(|i| format!("invoker-{i}")) {
+                if t.ways.0 {
+                    change(ether, &c, &i);
+                }
+                if t.ways.1 {
+                    change(ether, &i, &c);
+                }
+            }
+        }
+    }
+
     async fn run(self: Rc<Self>) {
         for t in self.day.troubles.clone() {
             let this = self.clone();
@@ -359,6 +416,9 @@
                     Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall => {
                         format!(" of controllers {:?}", t.controllers)
                     }
+                    Kind::LineCut | Kind::LineSlow => {
+                        format!(" of controllers {:?} and invokers {:?}", t.controllers, t.invokers)
+                    }
                     Kind::HotFunction => format!(" {:?}", t.functions),
                     Kind::RefusedForRoom => format!(" of {}", t.tenant.clone().unwrap_or_default()),
                     _ if t.invokers.len() < this.invokers.len() => format!(" of invokers {:?}", t.invokers),
@@ -554,6 +614,17 @@
                 self.store.limit.set(limit);
                 self.registry.faults.borrow_mut().refuses = 0.0;
             }
+            Kind::LineCut => {
+                self.lines(&t, Ether::cut);
+                self.sleep(t.lasts).await;
+                self.lines(&t, Ether::heal);
+            }
+            Kind::LineSlow => {
+                let line = Wire { delay: t.delay, jitter: t.delay / 2 };
+                self.lines(&t, |ether, from, to| ether.slow(from, to, Some(line)));
+                self.sleep(t.lasts).await;
+                self.lines(&t, |ether, from, to| ether.slow(from, to, None));
+            }
             Kind::ListLost => {
                 self.list.lose();
                 self.sleep(t.lasts).await;
@@ -611,7 +682,7 @@
                     drop(stop);
                     self.ended.borrow_mut().push(thread);
                 }
-                Chair::Task(task) => task.abort(),
+                Chair::Task { task, .. } => task.abort(),
             }
         }
         for thread in self.ended.borrow_mut().drain(..) {
--- a/crates/day/tests/days.rs
+++ b/crates/day/tests/days.rs
@@ -76,6 +76,45 @@
     assert!(first != play(22));
 }
 
+/// A controller that reads the machine's own clock, as a mistake would: its seed hangs on it.
+fn careless(
+    mut seat: saltdrum_controller::Seat,
+    network: std::rc::Rc<dyn saltdrum_link::Network>,
+    clock: saltdrum_link::Clock,
+) -> std::pin::Pin<Box<dyn Future<Output = std::io::Result<()>>>> {
+    #[expect(clippy::disallowed_methods, reason = "the mistake that is to be caught")]
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    seat.seed ^= now.as_nanos() as u64;
+    serve(seat, network, clock)
+}
+
+#[test]
+fn whoever_reads_the_machines_own_clock_is_given_away_by_a_second_run() {
+    let play = |serve| bytes(&play_virtually(&builtin("bad-network"), serve).unwrap());
+    assert!(play(serve) == play(serve));
+    assert!(play(careless) != play(careless));
+}
+
+/// Timers of one moment and streams that are ready together have an order of their own, and it is the same each time.
+#[test]
+fn what_falls_together_in_virtual_time_keeps_its_order() {
+    let script = DAYS.iter().find(|d| d.0 == "answers-lost").unwrap().1;
+    let play = || {
+        let mut day = Day::load("ties", script).unwrap();
+        let mut more = day.traffic[0].clone();
+        (more.at_once, more.per_second) = (50, 0.0);
+        day.traffic = vec![more; 6];
+        day.traffic.iter_mut().for_each(|t| t.spread = 0.0);
+        let lines = play_virtually(&day, serve).unwrap();
+        let at = |l: &Line| if let Line::Sent { at, .. } = l { Some(*at) } else { None };
+        let sent: Vec<_> = lines.iter().filter_map(at).collect();
+        (sent.windows(2).filter(|w| w[0] == w[1]).count(), bytes(&lines))
+    };
+    let (ties, first) = play();
+    assert!(ties > 50, "only {ties} were sent in the moment of another");
+    assert!(first == play().1);
+}
+
 #[test]
 fn days_that_come_with_the_program_keep_the_rules_in_virtual_time() {
     for (name, _) in DAYS {
--- a/crates/deployment/src/script.rs
+++ b/crates/deployment/src/script.rs
@@ -105,7 +105,20 @@
     };
 }
 
-statements!(deployment, machine, invokers, trigger_type, tenant, function, day, traffic, trouble);
+statements!(
+    deployment,
+    machine,
+    invokers,
+    trigger_type,
+    tenant,
+    function,
+    day,
+    network,
+    traffic,
+    trouble,
+    experiment,
+    variant
+);
 
 /// Runs a script's text; `file` is its name in faults.
 pub fn run(file: &str, text: &str) -> Result<Vec<Statement>, Fault> {
--- /dev/null
+++ b/crates/ether/src/lines.rs
@@ -0,0 +1,147 @@
+//! When bytes that one host writes reach another.
+
+use saltdrum::port::{SECOND, Tenths};
+use std::collections::BTreeMap;
+
+/// A host by its number, in the order in which hosts were first named.
+pub type Host = u32;
+
+/// What lies between two hosts, one way.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Line {
+    pub delay: Tenths,
+    /// Up to so much is added, evenly drawn for each write.
+    pub jitter: Tenths,
+}
+
+/// What a write meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passage {
+    Arrives(Tenths),
+    /// Until the cut is healed; [`Lines::after_heal`] tells when it arrives then.
+    Held,
+}
+
+/// All lines of a network. Each host has one way out, which all its streams share in turn.
+#[derive(Debug)]
+pub struct Lines {
+    usual: Line,
+    /// Of each host's way out; 0: no bound.
+    bytes_per_second: f64,
+    slowed: BTreeMap<(Host, Host), Line>,
+    /// How many troubles cut it: cuts may overlap.
+    cuts: BTreeMap<(Host, Host), u32>,
+    /// When a host's way out is free again.
+    free: BTreeMap<Host, Tenths>,
+    rng: fastrand::Rng,
+}
+
+impl Lines {
+    pub fn new(usual: Line, bytes_per_second: f64, seed: u64) -> Self {
+        let rng = fastrand::Rng::with_seed(seed);
+        let (slowed, cuts, free) = Default::default();
+        Self { usual, bytes_per_second, slowed, cuts, free, rng }
+    }
+
+    fn crossing(&mut self, from: Host, to: Host) -> Tenths {
+        // A host reaches itself at once.
+        if from == to {
+            return 0;
+        }
+        let line = self.slowed.get(&(from, to)).copied().unwrap_or(self.usual);
+        line.delay + if line.jitter > 0 { self.rng.u64(0..=line.jitter) } else { 0 }
+    }
+
+    /// A write of so many bytes.
+    pub fn send(&mut self, now: Tenths, from: Host, to: Host, bytes: usize) -> Passage {
+        let mut leaves = now;
+        if self.bytes_per_second > 0.0 && from != to {
+            let takes = (bytes as f64 / self.bytes_per_second * SECOND as f64).ceil() as Tenths;
+            let free = self.free.entry(from).or_insert(0);
+            *free = now.max(*free) + takes;
+            leaves = *free;
+        }
+        if self.is_cut(from, to) {
+            return Passage::Held;
+        }
+        Passage::Arrives(leaves + self.crossing(from, to))
+    }
+
+    /// When something arrives that a cut has held until now.
+    pub fn after_heal(&mut self, now: Tenths, from: Host, to: Host) -> Tenths {
+        now + self.crossing(from, to)
+    }
+
+    pub fn is_cut(&self, from: Host, to: Host) -> bool {
+        self.cuts.contains_key(&(from, to))
+    }
+
+    /// One way only; the other way is a line of its own.
+    pub fn cut(&mut self, from: Host, to: Host) {
+        *self.cuts.entry((from, to)).or_insert(0) += 1;
+    }
+
+    /// Takes one cut back; true when none is left.
+    pub fn heal(&mut self, from: Host, to: Host) -> bool {
+        match self.cuts.get_mut(&(from, to)) {
+            Some(n) if *n > 1 => {
+                *n -= 1;
+                false
+            }
+            Some(_) => self.cuts.remove(&(from, to)).is_some(),
+            None => false,
+        }
+    }
+
+    /// Another line in place of the usual one; `None`: the usual one again.
+    pub fn slow(&mut self, from: Host, to: Host, line: Option<Line>) {
+        match line {
+            Some(line) => drop(self.slowed.insert((from, to), line)),
+            None => drop(self.slowed.remove(&(from, to))),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_way_out_is_shared_in_turn_and_lines_add_their_delay() {
+        let mut l = Lines::new(Line { delay: 20, jitter: 0 }, 1e6, 1);
+        assert_eq!(l.send(100, 1, 2, 1_000), Passage::Arrives(100 + 10 + 20));
+        assert_eq!(l.send(100, 1, 3, 1_000), Passage::Arrives(100 + 20 + 20), "behind the first");
+        assert_eq!(l.send(100, 2, 3, 1_000), Passage::Arrives(100 + 10 + 20), "another host's way is free");
+        assert_eq!(l.send(100, 2, 2, 1 << 30), Passage::Arrives(100));
+        l.slow(1, 2, Some(Line { delay: 900, jitter: 0 }));
+        assert_eq!(l.send(200, 1, 2, 0), Passage::Arrives(1_100));
+        assert_eq!(l.send(200, 2, 1, 0), Passage::Arrives(220), "one way only");
+    }
+
+    #[test]
+    fn cuts_go_one_way_and_may_overlap() {
+        let mut l = Lines::new(Line::default(), 0.0, 1);
+        l.cut(1, 2);
+        l.cut(1, 2);
+        assert_eq!((l.send(5, 1, 2, 9), l.send(5, 2, 1, 9)), (Passage::Held, Passage::Arrives(5)));
+        assert!(!l.heal(1, 2) && l.is_cut(1, 2));
+        assert!(l.heal(1, 2) && !l.is_cut(1, 2));
+        assert!(!l.heal(1, 2), "nothing is left to heal");
+    }
+
+    #[test]
+    fn jitter_stays_within_its_bound_and_is_the_seeds() {
+        let draw = |seed| {
+            let mut l = Lines::new(Line { delay: 10, jitter: 30 }, 0.0, seed);
+            let one = |_| match l.send(0, 1, 2, 1) {
+                Passage::Arrives(at) => at,
+                Passage::Held => panic!("nothing is cut"),
+            };
+            (0..200).map(one).collect::<Vec<_>>()
+        };
+        let all = draw(7);
+        assert!(all.iter().all(|at| (10..=40).contains(at)));
+        assert!(all.contains(&10) && all.contains(&40));
+        assert_eq!((draw(7) == all, draw(8) == all), (true, false));
+    }
+}
--- a/crates/layers/examples/cost.rs
+++ b/crates/layers/examples/cost.rs
@@ -14,6 +14,7 @@
 }
 
 /// Seconds that it takes.
+#[expect(clippy::disallowed_methods, reason = "it is this machine's time that is asked for")]
 fn timed(work: impl FnOnce()) -> f64 {
     let began = Instant::now();
     work();
--- a/crates/link/src/turns.rs
+++ b/crates/link/src/turns.rs
@@ -24,6 +24,7 @@
     last: Rc<Cell<Tenths>>,
     before: Rc<Cell<Tenths>>,
     stood: Rc<Cell<(Tenths, Tenths)>>,
+    written: Rc<Cell<Option<Tenths>>>,
 }
 
 impl Turns {
@@ -38,6 +39,12 @@
         })
     }
 
+    /// Said by a stream that knows when the bytes it just gave were written. Only an emulated one does, and only to
+    /// those who judge: a process can't know it.
+    pub fn written(&self, at: Tenths) {
+        self.written.set(Some(at));
+    }
+
     /// The earliest time at which bytes read at `now` can have come, on a stream last found empty at `empty`.
     pub fn earliest(&self, empty: Tenths, now: Tenths) -> Tenths {
         // A stop that no turn has noted yet: the thread's own clock tells.
@@ -78,6 +85,7 @@
     pub async fn more(&mut self) -> io::Result<Option<Tenths>> {
         self.bytes.reserve(READ_BYTES);
         let (stream, bytes, empty, clock) = (&mut self.stream, &mut self.bytes, &mut self.empty, self.clock);
+        self.turns.written.set(None);
         let got = poll_fn(|cx| {
             let held = bytes.len();
             bytes.resize(held + READ_BYTES, 0);
@@ -94,7 +102,9 @@
             }
         })
         .await?;
-        Ok((got > 0).then(|| self.turns.earliest(self.empty, self.clock.now())))
+        let earliest = self.turns.earliest(self.empty, self.clock.now());
+        let earliest = self.turns.written.take().map_or(earliest, |written| written.min(earliest));
+        Ok((got > 0).then_some(earliest))
     }
 }
 
