--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::disallowed_methods, reason = "seeds and times of what runs for real come from here")]
 
 mod layers;
+mod load;
 mod run;
 
 use clap::{Parser, Subcommand};
@@ -64,6 +65,8 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    /// Sends load to controllers, open loop, and tells what came of it.
+    Load(load::Load),
     /// Judges the five rules by a record.
     Check {
         record: PathBuf,
@@ -188,6 +191,7 @@
         What::Call { to, function, tenant, trigger, input, time_left_ms, token } => {
             run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token)
         }
+        What::Load(said) => load::run(&said),
         What::Layers(what) => layers::run(&what),
         What::Status { to } => run::status(&to),
     };
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -34,7 +34,7 @@
     }
 }
 
-fn on_this_thread<T>(work: impl Future<Output = T>) -> Result<T, String> {
+pub fn on_this_thread<T>(work: impl Future<Output = T>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     Ok(LocalSet::new().block_on(&runtime.map_err(|e| e.to_string())?, work))
 }
@@ -192,16 +192,22 @@
     }
 }
 
-pub fn play(day: &str, virtually: bool, json: bool, keep: Option<&Path>) -> Done {
-    let day = match DAYS.iter().find(|(name, _)| *name == day) {
-        Some((name, script)) => Day::load(&format!("{name}.star"), script),
-        None if day.ends_with(".star") => Day::load(day, &text(Path::new(day))?),
+/// A day and its script's text, by the name of one that comes with the program or by its file.
+pub fn day(name: &str) -> Result<(String, Day), String> {
+    let (file, script) = match DAYS.iter().find(|d| d.0 == name) {
+        Some((name, script)) => (format!("{name}.star"), (*script).to_owned()),
+        None if name.ends_with(".star") => (name.to_owned(), text(Path::new(name))?),
         None => {
             let names: Vec<&str> = DAYS.iter().map(|d| d.0).collect();
-            return Err(format!("'{day}': a script.star or one of {} is expected", names.join(", ")));
+            return Err(format!("'{name}': a script.star or one of {} is expected", names.join(", ")));
         }
     };
-    let day = day.map_err(|e| e.to_string())?;
+    let day = Day::load(&file, &script).map_err(|e| e.to_string())?;
+    Ok((script, day))
+}
+
+pub fn play(name: &str, virtually: bool, json: bool, keep: Option<&Path>) -> Done {
+    let (_, day) = day(name)?;
     let lines = if virtually {
         play_virtually(&day, saltdrum_day::serve)
     } else {
--- a/crates/day/src/clients.rs
+++ b/crates/day/src/clients.rs
@@ -3,8 +3,9 @@
 use crate::script::Day;
 use crate::traffic::Arrival;
 use bytes::{Bytes, BytesMut};
-use saltdrum::port::{Effect, MILLI, Scope, Tenths};
+use saltdrum::port::{Effect, MILLI, Tenths};
 use saltdrum_link::{Address, Clock, Network, Outbox, Read, Turns, halves};
+use saltdrum_load::retry::{End, Patience, Then};
 use saltdrum_protocol::rpc;
 use saltdrum_standin::record::{How, Line, Record, Try, Who};
 use serde_json::json;
@@ -79,31 +80,23 @@
         let function = &terms.functions[&a.function];
         let stated = &terms.deployment.trigger_types[function.trigger];
         let first = self.clock.now();
-        for attempt in 0..=self.day.retries {
+        let patience = Patience { retries: self.day.retries, backoff: self.day.backoff };
+        for attempt in 0.. {
             let of = Try { n, attempt };
             let mut rng = fastrand::Rng::with_seed(self.day.seed ^ id_of(of));
-            let backoff = self.day.backoff << attempt.min(6);
-            let mut wait = backoff / 2 + rng.u64(0..=backoff);
-            match self.one_try(of, &a, stated.client_timeout).await {
-                Err(()) => {}
-                Ok(None) => match stated.effect {
-                    Effect::Idempotent => {}
-                    // Repeats are dropped by all only where all know the token, and for as long as they do.
-                    Effect::Tokened if stated.scope == Scope::All => {
-                        if self.clock.now() + wait > first + stated.repeat_window / 2 {
-                            return;
-                        }
-                    }
-                    _ => return,
-                },
-                Ok(Some(told)) => match (told.how, stated.effect) {
-                    (How::Succeeded, _) => return,
-                    (How::Throttled, _) => wait = wait.max(told.come_back),
-                    (How::Errored, Effect::Idempotent) => {}
-                    (How::Errored, _) => return,
+            let end = match self.one_try(of, &a, stated.client_timeout).await {
+                Err(()) => End::Unsent,
+                Ok(None) => End::Unknown,
+                Ok(Some(told)) => match told.how {
+                    How::Succeeded => End::Succeeded,
+                    How::Throttled => End::Throttled(told.come_back),
+                    How::Errored => End::Errored,
                 },
+            };
+            match patience.then(stated, attempt, self.clock.now() - first, end, rng.f64()) {
+                Then::Over => return,
+                Then::AgainAfter(wait) => tokio::time::sleep(Duration::from_micros(wait * 100)).await,
             }
-            tokio::time::sleep(Duration::from_micros(wait * 100)).await;
         }
     }
 
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -1,8 +1,9 @@
 //! A day as its script states it.
 
-use saltdrum::port::Tenths;
+use saltdrum::port::{SECOND, Tenths};
 use saltdrum_deployment::units::{Memory, Span};
 use saltdrum_deployment::{Fault, Statement, Terms, script};
+use saltdrum_load::Shape;
 use serde::Deserialize;
 
 /// How models reach invokers.
@@ -60,8 +61,9 @@
     pub functions: Vec<String>,
     pub zipf: f64,
     pub per_second: f64,
-    /// So many together instead, at `from`.
-    pub at_once: u32,
+    pub shape: Shape,
+    /// So often the last of the functions becomes the first; 0: never.
+    pub turnover: Tenths,
     pub work: Tenths,
     /// Standard deviation of work over its mean.
     pub spread: f64,
@@ -215,6 +217,39 @@
     #[serde(default)]
     begin: Span,
     end: Option<Span>,
+    /// steady, bursty, afternoon, ramp, season
+    shape: Option<String>,
+    /// Of bursts and seasons: by how much.
+    times: Option<f64>,
+    /// Of a burst, or of a season's period; for `at_once`, within what they come.
+    lasts: Option<Span>,
+    #[serde(default)]
+    turnover: Span,
+}
+
+impl SaidTraffic {
+    fn shape(&self) -> Result<Shape, String> {
+        if self.at_once > 0 {
+            // A class is told to press play; nobody does within the same moment.
+            let spread = self.lasts.map_or(SECOND / 2, |s| s.0);
+            return Ok(Shape::Group { count: self.at_once, spread });
+        }
+        let times = |least: f64, most: f64, usual: f64| match self.times.unwrap_or(usual) {
+            n if (least..=most).contains(&n) => Ok(n),
+            n => Err(format!("times {n}: {least} to {most} are expected for this shape")),
+        };
+        let lasts = |usual: Tenths| self.lasts.map_or(usual, |s| s.0);
+        match self.shape.as_deref() {
+            None | Some("steady") => Ok(Shape::Steady),
+            Some("bursty") => Ok(Shape::Bursty { times: times(1.0, 100.0, 5.0)?, lasts: lasts(SECOND) }),
+            Some("afternoon") => Ok(Shape::Afternoon { least: times(0.0, 1.0, 0.2)? }),
+            Some("ramp") => Ok(Shape::Ramp),
+            Some("season") => Ok(Shape::Season { swing: times(0.0, 1.0, 0.5)?, period: lasts(20 * SECOND) }),
+            Some(other) => {
+                Err(format!("shape '{other}': one of steady, bursty, afternoon, ramp, season is expected"))
+            }
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -342,12 +377,14 @@
         if said.functions.is_empty() || (said.per_second <= 0.0) == (said.at_once == 0) {
             return Err(s.fault("functions and either per_second or at_once are expected"));
         }
+        let shape = said.shape().map_err(|why| s.fault(why))?;
         Ok(Traffic {
             tenant,
+            shape,
+            turnover: said.turnover.0,
             functions: said.functions,
             zipf: said.zipf,
             per_second: said.per_second,
-            at_once: said.at_once,
             work: said.work.0,
             spread: said.spread,
             from: said.begin.0,
--- a/crates/day/src/traffic.rs
+++ b/crates/day/src/traffic.rs
@@ -1,7 +1,8 @@
 //! Draws a day's invocations, all before it begins: what comes does not wait for what was answered.
 
 use crate::script::{Day, Kind, Traffic, Trouble};
-use saltdrum::port::{SECOND, Tenths};
+use saltdrum::port::Tenths;
+use saltdrum_load::{Popularity, shape::arrivals};
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
@@ -43,41 +44,13 @@
 }
 
 fn draw_one(t: &Traffic, rng: &mut fastrand::Rng, all: &mut Vec<Arrival>) {
-    let weights: Vec<f64> = (1..=t.functions.len()).map(|rank| (rank as f64).powf(-t.zipf)).collect();
-    let total: f64 = weights.iter().sum();
-    let one = |at: Tenths, rng: &mut fastrand::Rng| {
-        let mut left = rng.f64() * total;
-        let rank = weights.iter().position(|w| {
-            left -= w;
-            left < 0.0
-        });
+    let popularity = Popularity::new(t.functions.len(), t.zipf, t.turnover);
+    for at in arrivals(t.shape, t.per_second, t.from, t.to, rng) {
+        let function = t.functions[popularity.draw(at, rng)].clone();
         let sigma = (1.0 + t.spread * t.spread).ln().sqrt();
         let work = t.work as f64 * (sigma * normal(rng) - 0.5 * sigma * sigma).exp();
-        Arrival {
-            at,
-            tenant: t.tenant,
-            function: t.functions[rank.unwrap_or(0)].clone(),
-            work: (work as Tenths).max(1),
-            hangs_up: None,
-            reads_late: None,
-        }
-    };
-    if t.at_once > 0 {
-        // A class is told to press play; nobody does within the same moment.
-        let spread = SECOND / 2;
-        for _ in 0..t.at_once {
-            let at = t.from + rng.u64(0..spread);
-            all.push(one(at, rng));
-        }
-        return;
-    }
-    let mut at = t.from as f64;
-    loop {
-        at += -rng.f64().max(1e-12).ln() / t.per_second * SECOND as f64;
-        if at >= t.to as f64 {
-            return;
-        }
-        all.push(one(at as Tenths, rng));
+        let work = (work as Tenths).max(1);
+        all.push(Arrival { at, tenant: t.tenant, function, work, hangs_up: None, reads_late: None });
     }
 }
 
--- a/crates/day/tests/days.rs
+++ b/crates/day/tests/days.rs
@@ -102,7 +102,7 @@
     let play = || {
         let mut day = Day::load("ties", script).unwrap();
         let mut more = day.traffic[0].clone();
-        (more.at_once, more.per_second) = (50, 0.0);
+        more.shape = saltdrum_load::Shape::Group { count: 50, spread: 5_000 };
         day.traffic = vec![more; 6];
         day.traffic.iter_mut().for_each(|t| t.spread = 0.0);
         let lines = play_virtually(&day, serve).unwrap();
--- /dev/null
+++ b/crates/load/src/lag.rs
@@ -0,0 +1,87 @@
+//! Whether the generator itself kept up. A run that it bent does not count.
+
+use saltdrum::port::{MILLI, Tenths};
+use serde::Serialize;
+
+/// An invocation sent so much after its time was sent late: timers are good for a millisecond, threads for a few.
+const LATE: Tenths = 20 * MILLI;
+/// Late ones that a run may have, in parts of all.
+const LATE_SHARE: f64 = 0.001;
+/// No single one may be later than this, and the thread may not stand still for longer.
+const MOST: Tenths = 200 * MILLI;
+
+/// What the generator did late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Lag {
+    pub sent: u64,
+    pub late: u64,
+    /// In tenths of a millisecond.
+    pub worst: Tenths,
+    /// Longest time for which the generator's thread stood still, in tenths of a millisecond.
+    pub stood: Tenths,
+}
+
+/// Whether a run counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub enum Verdict {
+    Counts,
+    /// With the reason in words.
+    GeneratorFellBehind(String),
+}
+
+impl Lag {
+    /// An invocation was handed to its connection.
+    pub fn sent(&mut self, intended: Tenths, at: Tenths) {
+        let lag = at.saturating_sub(intended);
+        self.sent += 1;
+        self.late += u64::from(lag > LATE);
+        self.worst = self.worst.max(lag);
+    }
+
+    pub fn stood(&mut self, span: Tenths) {
+        self.stood = self.stood.max(span);
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        let ms = |t: Tenths| t as f64 / MILLI as f64;
+        if self.stood > MOST {
+            return Verdict::GeneratorFellBehind(format!("it stood still for {:.0} ms", ms(self.stood)));
+        }
+        if self.worst > MOST {
+            return Verdict::GeneratorFellBehind(format!("it sent one {:.0} ms late", ms(self.worst)));
+        }
+        if self.late as f64 > LATE_SHARE * self.sent as f64 {
+            let why = format!("it sent {} of {} over {:.0} ms late", self.late, self.sent, ms(LATE));
+            return Verdict::GeneratorFellBehind(why);
+        }
+        Verdict::Counts
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_few_late_ones_are_let_pass_and_many_are_not() {
+        let mut lag = Lag::default();
+        (0..10_000).for_each(|at| lag.sent(at, at + 10));
+        (0..10).for_each(|at| lag.sent(at, at + LATE + 1));
+        assert_eq!(lag.verdict(), Verdict::Counts);
+        lag.sent(0, LATE + 1);
+        assert!(matches!(lag.verdict(), Verdict::GeneratorFellBehind(why) if why.contains("11 of 10011")));
+    }
+
+    #[test]
+    fn one_long_stop_is_enough() {
+        let mut lag = Lag::default();
+        (0..10_000).for_each(|at| lag.sent(at, at));
+        lag.stood(MOST + 1);
+        assert!(matches!(lag.verdict(), Verdict::GeneratorFellBehind(why) if why.contains("stood still")));
+        let mut lag = Lag::default();
+        lag.sent(5, 6 + MOST);
+        assert!(
+            matches!(lag.verdict(), Verdict::GeneratorFellBehind(why) if why.contains("sent one 200 ms"))
+        );
+    }
+}
--- /dev/null
+++ b/crates/load/src/retry.rs
@@ -0,0 +1,102 @@
+//! Whether a client tries again, and when.
+
+use saltdrum::port::{Effect, Scope, Tenths, TriggerType};
+
+/// How a try ended, as the client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Nothing was sent: there was nobody to send it to.
+    Unsent,
+    /// Sent, and no answer came.
+    Unknown,
+    Succeeded,
+    /// With when to come back.
+    Throttled(Tenths),
+    Errored,
+}
+
+/// What a client does after a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+    Over,
+    AgainAfter(Tenths),
+}
+
+/// A client's patience.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Further tries.
+    pub retries: u32,
+    /// About so long before the first of them, and twice as long before each next.
+    pub backoff: Tenths,
+}
+
+impl Patience {
+    /// After try `attempt`, from 0, of an invocation that began `ago`. Nothing that may have had its effect is done
+    /// twice.
+    pub fn then(&self, trigger: &TriggerType, attempt: u32, ago: Tenths, end: End, chance: f64) -> Then {
+        if attempt >= self.retries || end == End::Succeeded {
+            return Then::Over;
+        }
+        let backoff = self.backoff << attempt.min(6);
+        let mut wait = backoff / 2 + (chance.clamp(0.0, 1.0) * backoff as f64) as Tenths;
+        match (end, trigger.effect) {
+            (End::Throttled(come_back), _) => wait = wait.max(come_back),
+            (End::Unsent, _) | (_, Effect::Idempotent) => {}
+            // Repeats are dropped by all only where all know the token, and for as long as they do.
+            (End::Unknown, Effect::Tokened) if trigger.scope == Scope::All => {
+                if ago + wait > trigger.repeat_window / 2 {
+                    return Then::Over;
+                }
+            }
+            _ => return Then::Over,
+        }
+        Then::AgainAfter(wait)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn then(effect: Effect, scope: Scope, attempt: u32, ago: Tenths, end: End) -> Then {
+        let trigger = TriggerType {
+            effect,
+            scope,
+            repeat_window: 40_000,
+            objective: 10_000,
+            client_timeout: 40_000,
+            billed_value: 1.0,
+            late_share: 0.0,
+        };
+        Patience { retries: 2, backoff: 1_000 }.then(&trigger, attempt, ago, end, 0.5)
+    }
+
+    #[test]
+    fn nothing_is_done_twice_that_may_have_been_done() {
+        use End::*;
+        use Then::*;
+        let cases = [
+            (Effect::Idempotent, Scope::All, Unknown, AgainAfter(1_000)),
+            (Effect::Idempotent, Scope::All, Errored, AgainAfter(1_000)),
+            (Effect::NonIdempotent, Scope::All, Unknown, Over),
+            (Effect::NonIdempotent, Scope::All, Errored, Over),
+            (Effect::NonIdempotent, Scope::All, Throttled(3_000), AgainAfter(3_000)),
+            (Effect::NonIdempotent, Scope::All, Unsent, AgainAfter(1_000)),
+            (Effect::Tokened, Scope::Cell, Unknown, Over),
+            (Effect::Tokened, Scope::All, Unknown, AgainAfter(1_000)),
+            (Effect::Tokened, Scope::All, Errored, Over),
+            (Effect::Idempotent, Scope::All, Succeeded, Over),
+        ];
+        for (effect, scope, end, want) in cases {
+            assert_eq!(then(effect, scope, 0, 0, end), want, "{effect:?} {scope:?} {end:?}");
+        }
+    }
+
+    #[test]
+    fn patience_ends_and_tokens_grow_old() {
+        assert_eq!(then(Effect::Idempotent, Scope::All, 1, 0, End::Errored), Then::AgainAfter(2_000));
+        assert_eq!(then(Effect::Idempotent, Scope::All, 2, 0, End::Errored), Then::Over);
+        assert_eq!(then(Effect::Tokened, Scope::All, 0, 19_500, End::Unknown), Then::Over);
+    }
+}
