--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::disallowed_methods, reason = "seeds and times of what runs for real come from here")]
 
+mod lab;
 mod layers;
 mod load;
 mod run;
@@ -67,6 +68,9 @@
     },
     /// Sends load to controllers, open loop, and tells what came of it.
     Load(load::Load),
+    /// Compares changes, and searches for days that fail.
+    #[command(subcommand)]
+    Lab(lab::Lab),
     /// Judges the five rules by a record.
     Check {
         record: PathBuf,
@@ -191,6 +195,7 @@
         What::Call { to, function, tenant, trigger, input, time_left_ms, token } => {
             run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token)
         }
+        What::Lab(what) => lab::run(&what),
         What::Load(said) => load::run(&said),
         What::Layers(what) => layers::run(&what),
         What::Status { to } => run::status(&to),
--- a/crates/controller/src/decides.rs
+++ b/crates/controller/src/decides.rs
@@ -1,4 +1,4 @@
-//! What the service asks of whoever decides, and the one baseline that it is measured beside.
+//! What the service asks of whoever decides, and the baselines that it is compared with.
 
 use saltdrum::Controller;
 use saltdrum::port::*;
@@ -43,21 +43,62 @@
     }
 }
 
-/// A pass-through relay: one dispatch to any invoker that is ready, its end handed on. For measurement only.
-#[derive(Default)]
-struct AtRandom {
+/// How a baseline picks one of the invokers that are ready.
+#[derive(Clone, Copy)]
+enum Pick {
+    Random,
+    /// The one with the fewest of this controller's dispatches out.
+    FewestOut,
+    /// The one that a hash of it and the function puts first.
+    Rendezvous,
+}
+
+/// A pass-through relay: one dispatch to a ready invoker, its end handed on. For comparison only: it keeps no rule.
+struct Relay {
+    pick: Pick,
     rng: fastrand::Rng,
     ready: BTreeSet<InvokerId>,
     picks: Vec<InvokerId>,
-    ran: BTreeMap<InvId, bool>,
+    out: BTreeMap<InvokerId, u32>,
+    /// Where each went.
+    inv: BTreeMap<InvId, InvokerId>,
+}
+
+fn relay(pick: Pick, seed: u64) -> Box<dyn Decides> {
+    let (ready, picks, out, inv) = Default::default();
+    Box::new(Relay { pick, rng: fastrand::Rng::with_seed(seed), ready, picks, out, inv })
 }
 
 /// Puts up a relay that picks at random.
 pub fn at_random(_: Tenths, _: Deployment, seed: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
-    Box::new(AtRandom { rng: fastrand::Rng::with_seed(seed), ..Default::default() })
+    relay(Pick::Random, seed)
 }
 
-impl Decides for AtRandom {
+/// Puts up a relay that picks whoever has the fewest of its dispatches.
+pub fn fewest_out(_: Tenths, _: Deployment, seed: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
+    relay(Pick::FewestOut, seed)
+}
+
+/// Puts up a relay that picks each function's first invoker, whatever it has to do.
+pub fn rendezvous(_: Tenths, _: Deployment, seed: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
+    relay(Pick::Rendezvous, seed)
+}
+
+impl Relay {
+    fn one(&mut self, function: FnId) -> InvokerId {
+        let first = self.rng.usize(..self.picks.len());
+        let turned = self.picks[first..].iter().chain(&self.picks[..first]).copied();
+        let out = |i: &InvokerId| self.out.get(i).copied().unwrap_or(0);
+        let rank = |i: &InvokerId| fastrand::Rng::with_seed(function ^ (u64::from(*i) << 32)).u64(..);
+        match self.pick {
+            Pick::Random => self.picks[first],
+            Pick::FewestOut => turned.min_by_key(out).unwrap_or(self.picks[first]),
+            Pick::Rendezvous => turned.max_by_key(rank).unwrap_or(self.picks[first]),
+        }
+    }
+}
+
+impl Decides for Relay {
     fn listed(&mut self, _: Tenths, whole: bool, entries: &[Listed]) {
         if whole {
             self.ready.clear();
@@ -76,14 +117,18 @@
         if self.picks.is_empty() {
             return acts.throttle(call.id, 0);
         }
-        self.ran.insert(call.id, false);
-        acts.dispatch(call.id, self.picks[self.rng.usize(..self.picks.len())], 0);
+        let to = self.one(call.function);
+        self.inv.insert(call.id, to);
+        *self.out.entry(to).or_insert(0) += 1;
+        acts.dispatch(call.id, to, 0);
     }
 
     fn left(&mut self, _: Tenths, _: InvId) {}
 
     fn answered(&mut self, _: Tenths, a: Answer, acts: &mut dyn Acts) {
-        self.ran.remove(&a.inv);
+        if let Some(out) = self.inv.remove(&a.inv).and_then(|to| self.out.get_mut(&to)) {
+            *out -= 1;
+        }
         match a.finished {
             true => {}
             false if a.outcome.never_ran() => acts.throttle(a.inv, 0),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,6 @@
 mod list;
 mod redial;
 
-pub use decides::{Decides, Make, at_random, by_design};
+pub use decides::{Decides, Make, at_random, by_design, fewest_out, rendezvous};
 pub use front::{Seat, serve};
 pub use redial::{Dials, Redial};
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -62,6 +62,14 @@
     Box::pin(saltdrum_controller::serve(seat, network, clock, by_design))
 }
 
+/// Controllers by how they decide: the design, and baselines for comparison.
+pub const POLICIES: &[(&str, Serve)] = &[
+    ("design", serve),
+    ("random", |s, n, c| Box::pin(saltdrum_controller::serve(s, n, c, saltdrum_controller::at_random))),
+    ("fewest-out", |s, n, c| Box::pin(saltdrum_controller::serve(s, n, c, saltdrum_controller::fewest_out))),
+    ("rendezvous", |s, n, c| Box::pin(saltdrum_controller::serve(s, n, c, saltdrum_controller::rendezvous))),
+];
+
 struct Stage {
     serve: Serve,
     day: Rc<Day>,
--- a/crates/day/tests/support/mod.rs
+++ b/crates/rogue/src/lib.rs
@@ -14,7 +14,8 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-#[derive(Clone, Copy, PartialEq)]
+/// What it does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     None,
     AnswersTwice,
@@ -28,6 +29,19 @@
     LoadsAtWill,
 }
 
+/// Faults by the names they go by on a command line.
+pub const FAULTS: &[(&str, Fault)] = &[
+    ("answers-twice", Fault::AnswersTwice),
+    ("answers-not-all", Fault::AnswersNotAll),
+    ("answers-late", Fault::AnswersLate),
+    ("runs-twice", Fault::RunsTwice),
+    ("throttles-what-ran", Fault::ThrottlesWhatRan),
+    ("two-out", Fault::TwoOut),
+    ("ignores-drains", Fault::IgnoresDrains),
+    ("floods-cold-ones", Fault::FloodsColdOnes),
+    ("loads-at-will", Fault::LoadsAtWill),
+];
+
 type Running = Pin<Box<dyn Future<Output = io::Result<()>>>>;
 type Then = Box<dyn FnOnce(wire::Answer)>;
 
@@ -43,6 +57,7 @@
     last: RefCell<u64>,
 }
 
+/// Runs in a seat as the real one does.
 pub fn rogue(fault: Fault, seat: Seat, network: Rc<dyn Network>, clock: Clock) -> Running {
     let rng = RefCell::new(fastrand::Rng::with_seed(seat.seed));
     let (entries, links, then, last) = Default::default();
@@ -126,14 +141,16 @@
         }
     }
 
-    fn pick(&self, not: Option<u32>) -> u32 {
+    /// None: nobody is there.
+    fn pick(&self, not: Option<u32>) -> Option<u32> {
         let entries = self.entries.borrow();
         let ready = |e: &&list::Entry| e.life == list::Life::Ready || self.fault == Fault::IgnoresDrains;
         let able: Vec<&list::Entry> =
             entries.values().filter(ready).filter(|e| Some(e.invoker) != not).collect();
         match self.fault {
-            Fault::FloodsColdOnes => able.iter().max_by_key(|e| e.incarnation).unwrap().invoker,
-            _ => able[self.rng.borrow_mut().usize(..able.len())].invoker,
+            Fault::FloodsColdOnes => able.iter().max_by_key(|e| e.incarnation).map(|e| e.invoker),
+            _ if able.is_empty() => None,
+            _ => Some(able[self.rng.borrow_mut().usize(..able.len())].invoker),
         }
     }
 
@@ -166,8 +183,11 @@
 
     fn take(self: &Rc<Self>, call: rpc::Invoke, id: rpc::Id, to: Outbox) {
         let inv = *self.last.borrow() as u32 + 1;
-        let first = self.pick(None);
-        let second = self.pick(Some(first));
+        let Some(first) = self.pick(None) else {
+            to.put(Bytes::from(rpc::error(&id, rpc::THROTTLED, "throttled", None) + "\n"), u64::MAX);
+            return;
+        };
+        let second = self.pick(Some(first)).unwrap_or(first);
         let (this, again) = (self.clone(), call.clone());
         let answer = move |text: String, wait_ms: u64| {
             let to = to.clone();
