First dials and repeated dials have budgets of their own

First dials, one for each invoker and life, now have 1,000 a second; repeated ones 64 a second or a quarter of all links, whichever is more. The storm bound at 48 controllers and 84 invokers is as before.

--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -211,12 +211,16 @@
     loop {
         let plan = front.tell(|state| {
             let desk = &mut state.desk;
+            let links = desk.links.len();
             let link = desk.links.get_mut(&invoker)?;
             if link.entry.life == saltdrum_protocol::list::Life::Gone {
                 return None;
             }
-            let wait = link.redial.wait(&mut desk.rng) + desk.dials.take(desk.now);
-            if !link.redial.failing() {
+            let mut wait = link.redial.wait(&mut desk.rng);
+            if link.redial.failing() {
+                wait += desk.dials.again(desk.now, links);
+            } else {
+                wait += desk.dials.first(desk.now);
                 begin(link);
             }
             Some((wait, link.changed.clone()))
--- a/crates/controller/src/redial.rs
+++ b/crates/controller/src/redial.rs
@@ -2,7 +2,9 @@
 //!
 //! A fleet that restarts is dialled by every controller at once, and none knows of the others. So every wait is drawn
 //! between nothing and a bound that doubles (full jitter), a link that broke soon after it came up counts as failed,
-//! and one controller starts only so many dials a second, whatever the number of invokers.
+//! and one controller starts only so many dials a second. First dials, of which there is one for each invoker and
+//! life, and repeated ones have a budget each: a controller that starts must know its fleet in a second or so, and what
+//! is dialled in vain must not keep it from the rest.
 
 use saltdrum::port::{MILLI, SECOND, Tenths};
 
@@ -13,7 +15,11 @@
 /// A link that stood so long was well.
 const WELL_AFTER: Tenths = 3 * SECOND;
 const DIALS_BURST: f64 = 128.0;
-const DIALS_PER_SECOND: f64 = 64.0;
+/// Each costs a controller under 0.1 ms: a tenth of its time at the most.
+const FIRST_DIALS_PER_SECOND: f64 = 1_000.0;
+/// Repeated ones: at least so many, and enough to try every link again within about the longest wait.
+const REDIALS_PER_SECOND: f64 = 64.0;
+const REDIALS_PER_LINK_AND_SECOND: f64 = 0.25;
 
 /// One link's history of failures.
 #[derive(Clone, Debug, Default)]
@@ -53,24 +59,43 @@
     }
 }
 
-/// A controller's dials, over all its links.
+/// Dials that may begin: a burst, and so many a second.
 #[derive(Clone, Debug)]
-pub struct Dials {
+struct Budget {
     left: f64,
     at: Tenths,
 }
 
+impl Budget {
+    fn take(&mut self, now: Tenths, per_second: f64) -> Tenths {
+        let grown = now.saturating_sub(self.at) as f64 * per_second / SECOND as f64;
+        self.left = (self.left + grown).min(DIALS_BURST) - 1.0;
+        self.at = self.at.max(now);
+        (-self.left / per_second * SECOND as f64).max(0.0) as Tenths
+    }
+}
+
+/// A controller's dials, over all its links.
+#[derive(Clone, Debug)]
+pub struct Dials {
+    first: Budget,
+    again: Budget,
+}
+
 impl Dials {
     pub fn new(now: Tenths) -> Self {
-        Self { left: DIALS_BURST, at: now }
+        let full = Budget { left: DIALS_BURST, at: now };
+        Self { first: full.clone(), again: full }
     }
 
-    /// Takes one dial; gives how long to wait with it.
-    pub fn take(&mut self, now: Tenths) -> Tenths {
-        let grown = now.saturating_sub(self.at) as f64 * DIALS_PER_SECOND / SECOND as f64;
-        self.left = (self.left + grown).min(DIALS_BURST) - 1.0;
-        self.at = self.at.max(now);
-        (-self.left / DIALS_PER_SECOND * SECOND as f64).max(0.0) as Tenths
+    /// Takes the dial of a link that has not failed; gives how long to wait with it.
+    pub fn first(&mut self, now: Tenths) -> Tenths {
+        self.first.take(now, FIRST_DIALS_PER_SECOND)
+    }
+
+    /// Takes a repeated dial, of a controller with so many links; gives how long to wait with it.
+    pub fn again(&mut self, now: Tenths, links: usize) -> Tenths {
+        self.again.take(now, REDIALS_PER_SECOND.max(REDIALS_PER_LINK_AND_SECOND * links as f64))
     }
 }
 
@@ -96,7 +121,7 @@
                 if at >= 10 * SECOND {
                     break;
                 }
-                let held = dials.take(at);
+                let held = dials.again(at, 84);
                 due[0].1.lost(at + held);
                 let wait = due[0].1.wait(&mut rng);
                 if let Some(n) = dialled.get_mut(((at + held) / (100 * MILLI)) as usize) {
@@ -129,9 +154,20 @@
     #[test]
     fn dials_beyond_the_burst_wait_their_turn() {
         let mut dials = Dials::new(0);
-        let waits: Vec<Tenths> = (0..200).map(|_| dials.take(0)).collect();
+        let waits: Vec<Tenths> = (0..200).map(|_| dials.again(0, 84)).collect();
         assert!(waits[..128].iter().all(|w| *w == 0));
         assert!(waits[128..].windows(2).all(|w| w[0] < w[1]));
-        assert_eq!(dials.take(60 * SECOND), 0);
+        assert_eq!(dials.again(60 * SECOND, 84), 0);
+    }
+
+    /// A controller that starts among 1,008 invokers of which 900 don't answer.
+    #[test]
+    fn a_large_fleet_is_dialled_within_a_second_and_dead_links_keep_nobody_from_it() {
+        let mut dials = Dials::new(0);
+        (0..900).for_each(|_| drop(dials.again(0, 1_008)));
+        let last = (0..1_008).map(|_| dials.first(0)).max().unwrap();
+        assert!((SECOND / 2..SECOND).contains(&last), "{last}");
+        let round = (0..1_008).map(|_| dials.again(20 * SECOND, 1_008)).max().unwrap();
+        assert!(round <= MOST, "{round}");
     }
 }
--- a/crates/lab/src/plots.rs
+++ b/crates/lab/src/plots.rs
@@ -73,7 +73,7 @@
         let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(34)
-            .y_label_area_size(56)
+            .y_label_area_size(72)
             .build_cartesian_2d(0.0..most + 1.0, (low..high * 1.4).log_scale())
             .map_err(|e| e.to_string())?;
         let bands = troubles.iter().map(|t| {
@@ -81,20 +81,23 @@
             Rectangle::new([(t.from_s.min(most), low), (to, high * 1.4)], BLACK.mix(0.07).filled())
         });
         chart.draw_series(bands).map_err(|e| e.to_string())?;
-        let rows = 4;
-        let numbers = troubles.iter().enumerate().map(|(n, t)| {
-            let y = high * 1.35 * 0.88_f64.powi((n % rows) as i32);
-            Text::new((n + 1).to_string(), (t.from_s.min(most), y), (FONT.0, 11).into_font().color(&BLACK))
-        });
-        chart.draw_series(numbers).map_err(|e| e.to_string())?;
         chart
             .configure_mesh()
-            .light_line_style(WHITE)
+            .max_light_lines(0)
             .x_desc("seconds of the day")
             .y_desc("ms")
+            .y_labels(5)
+            .x_label_formatter(&|x| format!("{x:.0}"))
+            .y_label_formatter(&|y| format!("{y:.0}"))
             .label_style(FONT)
             .draw()
             .map_err(|e| e.to_string())?;
+        let rows = 4;
+        let numbers = troubles.iter().enumerate().map(|(n, t)| {
+            let y = high * 1.35 * 0.88_f64.powi((n % rows) as i32);
+            Text::new((n + 1).to_string(), (t.from_s.min(most), y), (FONT.0, 11).into_font().color(&BLACK))
+        });
+        chart.draw_series(numbers).map_err(|e| e.to_string())?;
         lines!(chart, lines);
         Ok(())
     })
@@ -107,12 +110,13 @@
         let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(34)
-            .y_label_area_size(56)
+            .y_label_area_size(72)
             .build_cartesian_2d((low..high).log_scale(), 0.0..1.02)
             .map_err(|e| e.to_string())?;
         chart
             .configure_mesh()
-            .light_line_style(WHITE)
+            .max_light_lines(0)
+            .x_label_formatter(&|x| format!("{x:.0}"))
             .x_desc("ms, from the first try to the last answer")
             .y_desc("share")
             .label_style(FONT)
@@ -137,15 +141,16 @@
         let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(34)
-            .y_label_area_size(56)
+            .y_label_area_size(72)
             .build_cartesian_2d(1.0..wide, 0.0..high * 1.1)
             .map_err(|e| e.to_string())?;
         chart
             .configure_mesh()
-            .light_line_style(WHITE)
+            .max_light_lines(0)
             .x_desc("invokers in this order")
             .y_desc("over all seeds")
             .x_label_formatter(&|x| format!("{x:.0}"))
+            .y_label_formatter(&|y| format!("{y:.0}"))
             .label_style(FONT)
             .draw()
             .map_err(|e| e.to_string())?;
@@ -182,7 +187,7 @@
             .configure_mesh()
             .disable_y_mesh()
             .disable_y_axis()
-            .light_line_style(WHITE)
+            .max_light_lines(0)
             .x_desc("difference, % of the first variant's mean (cut off at 100%)")
             .label_style(FONT)
             .draw()
