--- a/crates/lab/src/shrink.rs
+++ b/crates/lab/src/shrink.rs
@@ -24,7 +24,10 @@
 
 /// What may be left out: the rest is the deployment, of which some is needed by what stays.
 fn optional(s: &Statement) -> bool {
-    matches!(s.what, "trouble" | "traffic" | "network" | "invokers" | "function" | "tenant" | "trigger_type")
+    matches!(
+        s.what,
+        "trouble" | "traffic" | "network" | "invokers" | "machine" | "function" | "tenant" | "trigger_type"
+    )
 }
 
 /// Half of an amount; none where it is as small as it should get.
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -153,3 +153,44 @@
     let folder = tempfile::tempdir().unwrap();
     assert_eq!(experiment(folder.path(), &text).cells().len(), DAYS.len() * 4);
 }
+
+/// Days that searches found with planted controllers, cut down: they still tell the planted from the real one.
+#[test]
+fn found_days_still_fail_with_the_planted_controller_and_not_with_the_real_one() {
+    let found: [(&str, &str, u8, Serve); 8] = [
+        ("answers-twice", include_str!("found/answers-twice.star"), 1, |s, n, c| {
+            rogue(Fault::AnswersTwice, s, n, c)
+        }),
+        ("answers-not-all", include_str!("found/answers-not-all.star"), 1, |s, n, c| {
+            rogue(Fault::AnswersNotAll, s, n, c)
+        }),
+        ("answers-late", include_str!("found/answers-late.star"), 1, |s, n, c| {
+            rogue(Fault::AnswersLate, s, n, c)
+        }),
+        ("runs-twice", include_str!("found/runs-twice.star"), 2, |s, n, c| rogue(Fault::RunsTwice, s, n, c)),
+        ("throttles-what-ran", include_str!("found/throttles-what-ran.star"), 2, |s, n, c| {
+            rogue(Fault::ThrottlesWhatRan, s, n, c)
+        }),
+        ("two-out", include_str!("found/two-out.star"), 2, |s, n, c| rogue(Fault::TwoOut, s, n, c)),
+        ("ignores-drains", include_str!("found/ignores-drains.star"), 3, |s, n, c| {
+            rogue(Fault::IgnoresDrains, s, n, c)
+        }),
+        ("floods-cold-ones", include_str!("found/floods-cold-ones.star"), 4, |s, n, c| {
+            rogue(Fault::FloodsColdOnes, s, n, c)
+        }),
+    ];
+    for (name, text, rule, serve) in found {
+        let day = saltdrum_day::Day::load(name, text).unwrap();
+        let broken = |serve: Serve| {
+            let lines = saltdrum_day::play_virtually(&day, serve).unwrap();
+            let verdicts = saltdrum_day::check::check(&lines).unwrap();
+            verdicts
+                .iter()
+                .filter(|v| v.state == saltdrum_day::State::Broken)
+                .map(|v| v.rule)
+                .collect::<Vec<_>>()
+        };
+        assert!(broken(serve).contains(&rule), "{name}");
+        assert_eq!(broken(saltdrum_day::serve), Vec::<u8>::new(), "{name}");
+    }
+}
