--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -157,7 +157,7 @@
 /// Days that searches found with planted controllers, cut down: they still tell the planted from the real one.
 #[test]
 fn found_days_still_fail_with_the_planted_controller_and_not_with_the_real_one() {
-    let found: [(&str, &str, u8, Serve); 8] = [
+    let found: [(&str, &str, u8, Serve); 9] = [
         ("answers-twice", include_str!("found/answers-twice.star"), 1, |s, n, c| {
             rogue(Fault::AnswersTwice, s, n, c)
         }),
@@ -175,6 +175,9 @@
         ("ignores-drains", include_str!("found/ignores-drains.star"), 3, |s, n, c| {
             rogue(Fault::IgnoresDrains, s, n, c)
         }),
+        ("loads-at-will", include_str!("found/loads-at-will.star"), 5, |s, n, c| {
+            rogue(Fault::LoadsAtWill, s, n, c)
+        }),
         ("floods-cold-ones", include_str!("found/floods-cold-ones.star"), 4, |s, n, c| {
             rogue(Fault::FloodsColdOnes, s, n, c)
         }),
