--- a/crates/lab/src/facts.rs
+++ b/crates/lab/src/facts.rs
@@ -94,7 +94,7 @@
     let mut bytes = Vec::new();
     write(lines, &mut bytes).map_err(|e| e.to_string())?;
     let digest = blake3::hash(&bytes).to_hex().to_string();
-    let (mut objective, mut all) = (BTreeMap::new(), BTreeMap::<u64, (Row, u32)>::new());
+    let (mut objective, mut all) = (BTreeMap::new(), BTreeMap::<u64, Row>::new());
     let mut invokers = BTreeMap::<u32, Invoker>::new();
     let first =
         lines.iter().find_map(|l| if let Line::Sent { at, .. } = l { Some(*at) } else { None }).unwrap_or(0);
@@ -113,16 +113,15 @@
                 invokers = s.places.iter().map(|p| (p.invoker, none(p))).collect();
             }
             Line::Sent { at, of, tenant, trigger, function, .. } => {
-                let (row, last) = all.entry(of.n).or_insert_with(|| {
+                let row = all.entry(of.n).or_insert_with(|| {
                     let (tenant, trigger, function) = (tenant.clone(), trigger.clone(), function.clone());
-                    (Row { at: *at, tenant, trigger, function, ..Default::default() }, 0)
+                    Row { at: *at, tenant, trigger, function, ..Default::default() }
                 });
-                (row.took, row.tries, *last) = (None, of.attempt + 1, of.attempt);
+                (row.took, row.tries) = (None, of.attempt + 1);
                 row.how = "lost".into();
             }
             Line::Final { at, of, how, .. } => {
-                if let Some((row, last)) = all.get_mut(&of.n).filter(|(_, last)| *last == of.attempt) {
-                    let _ = last;
+                if let Some(row) = all.get_mut(&of.n).filter(|row| row.tries == of.attempt + 1) {
                     row.took = Some(at - row.at.min(*at));
                     row.how = format!("{how:?}").to_lowercase();
                     let most = objective.get(&row.trigger).copied().unwrap_or(Tenths::MAX);
@@ -132,7 +131,7 @@
             Line::HungUp { of, .. } => drop(hung_up.insert(of.n)),
             Line::Dispatched { invoker, of, .. } => {
                 invokers.entry(*invoker).and_modify(|i| i.dispatches += 1);
-                if let Some((row, _)) = all.get_mut(&of.n) {
+                if let Some(row) = all.get_mut(&of.n) {
                     row.invoker = *invoker;
                 }
             }
@@ -144,7 +143,7 @@
         }
     }
     for n in &hung_up {
-        if let Some((row, _)) = all.get_mut(n).filter(|(row, _)| row.took.is_none()) {
+        if let Some(row) = all.get_mut(n).filter(|row| row.took.is_none()) {
             row.how = "hung up".into();
         }
     }
@@ -152,7 +151,7 @@
     let slow = slowest(lines, &all, first);
     let rows: Vec<Row> = all
         .into_values()
-        .map(|(mut row, _)| {
+        .map(|mut row| {
             row.at -= first.min(row.at);
             row
         })
@@ -188,16 +187,15 @@
 }
 
 /// The invocations that took longest, with what became of each of their dispatches.
-fn slowest(lines: &[Line], all: &BTreeMap<u64, (Row, u32)>, first: Tenths) -> Vec<Slow> {
-    let mut order: Vec<(Tenths, u64)> =
-        all.iter().filter_map(|(n, (row, _))| Some((row.took?, *n))).collect();
+fn slowest(lines: &[Line], all: &BTreeMap<u64, Row>, first: Tenths) -> Vec<Slow> {
+    let mut order: Vec<(Tenths, u64)> = all.iter().filter_map(|(n, row)| Some((row.took?, *n))).collect();
     order.sort_unstable_by(|a, b| b.cmp(a));
     let ms = |t: Tenths| t as f64 / MILLI as f64;
     let mut told: BTreeMap<u64, Slow> = order
         .into_iter()
         .take(SLOWEST)
         .map(|(took, n)| {
-            let row = &all[&n].0;
+            let row = &all[&n];
             let begun = ms(row.at - first.min(row.at)) / 1e3;
             let what = format!(
                 "{} of {} for {}, at {begun:.1} s: {}",
@@ -221,7 +219,7 @@
             _ => continue,
         };
         if let Some(slow) = told.get_mut(&of.n) {
-            let since = ms(at - all[&of.n].0.at.min(at));
+            let since = ms(at - all[&of.n].at.min(at));
             slow.steps.push(format!("+{since:.0} ms: {text}"));
         }
     }
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -64,7 +64,7 @@
     let day = base.day().map_err(|e| e.to_string())?;
     let threads = threads.max(1);
     for first in (0..days).step_by(threads) {
-        let found: Vec<_> = std::thread::scope(|scope| {
+        let found: Result<Vec<_>, String> = std::thread::scope(|scope| {
             let play = |n: usize| {
                 let (base, day) = (base.clone(), day.clone());
                 let seed = seed + n as u64;
@@ -73,9 +73,10 @@
                 })
             };
             let all: Vec<_> = (first..days.min(first + threads)).map(play).collect();
-            all.into_iter().filter_map(|t| t.join().ok().flatten()).collect()
+            // A judge that panics must not pass for a day that kept everything.
+            all.into_iter().map(|t| t.join().map_err(|_| "judging a day panicked".to_owned())).collect()
         });
-        if let Some((n, seed, (kind, _))) = found.into_iter().next() {
+        if let Some((n, seed, (kind, _))) = found?.into_iter().flatten().next() {
             let failing = troubled(base, &day, seed);
             let same = |s: &Script| fails(s, serve, bounds).is_some_and(|(k, _)| k == kind);
             let shrunk = shrink(failing, cuts, same);
