Slow lines that overlap: the slowest counts, and each ends by itself

Rereading: the end of one line_slow took away another that was still on, so a search with two of them played something other than its script says.

A line keeps all that slow it.

--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -629,9 +629,9 @@
             }
             Kind::LineSlow => {
                 let line = Wire { delay: t.delay, jitter: t.delay / 2 };
-                self.lines(&t, |ether, from, to| ether.slow(from, to, Some(line)));
+                self.lines(&t, |ether, from, to| ether.slow(from, to, line));
                 self.sleep(t.lasts).await;
-                self.lines(&t, |ether, from, to| ether.slow(from, to, None));
+                self.lines(&t, |ether, from, to| ether.quicken(from, to, line));
             }
             Kind::ListLost => {
                 self.list.lose();
--- a/crates/ether/src/lines.rs
+++ b/crates/ether/src/lines.rs
@@ -28,7 +28,8 @@
     usual: Line,
     /// Of each host's way out; 0: no bound.
     bytes_per_second: f64,
-    slowed: BTreeMap<(Host, Host), Line>,
+    /// By all troubles that are on: they may overlap, and the slowest counts.
+    slowed: BTreeMap<(Host, Host), Vec<Line>>,
     /// How many troubles cut it: cuts may overlap.
     cuts: BTreeMap<(Host, Host), u32>,
     /// When a host's way out is free again, in parts of a tenth: rounded, each write would cost it a whole one.
@@ -48,7 +49,8 @@
         if from == to {
             return 0;
         }
-        let line = self.slowed.get(&(from, to)).copied().unwrap_or(self.usual);
+        let line = self.slowed.get(&(from, to)).into_iter().flatten().max_by_key(|l| l.delay + l.jitter);
+        let line = line.copied().unwrap_or(self.usual);
         line.delay + if line.jitter > 0 { self.rng.u64(0..=line.jitter) } else { 0 }
     }
 
@@ -92,11 +94,17 @@
         }
     }
 
-    /// Another line in place of the usual one; `None`: the usual one again.
-    pub fn slow(&mut self, from: Host, to: Host, line: Option<Line>) {
-        match line {
-            Some(line) => drop(self.slowed.insert((from, to), line)),
-            None => drop(self.slowed.remove(&(from, to))),
+    /// Another line in place of the usual one, until it is [`quickened`](Self::quicken) by the same.
+    pub fn slow(&mut self, from: Host, to: Host, line: Line) {
+        self.slowed.entry((from, to)).or_default().push(line);
+    }
+
+    /// Takes one such line back.
+    pub fn quicken(&mut self, from: Host, to: Host, line: Line) {
+        if let Some(all) = self.slowed.get_mut(&(from, to))
+            && let Some(n) = all.iter().position(|l| *l == line)
+        {
+            all.remove(n);
         }
     }
 }
@@ -115,9 +123,15 @@
         // Small writes share what they don't use: 1,000 of 50 bytes take the time of 50,000.
         let last = (0..1_000).map(|_| l.send(10_000, 4, 1, 50)).last();
         assert_eq!(last, Some(Passage::Arrives(10_000 + 500 + 20)));
-        l.slow(1, 2, Some(Line { delay: 900, jitter: 0 }));
+        let (slow, slower) = (Line { delay: 500, jitter: 0 }, Line { delay: 900, jitter: 0 });
+        l.slow(1, 2, slow);
+        l.slow(1, 2, slower);
         assert_eq!(l.send(200, 1, 2, 0), Passage::Arrives(1_100));
         assert_eq!(l.send(200, 2, 1, 0), Passage::Arrives(220), "one way only");
+        l.quicken(1, 2, slower);
+        assert_eq!(l.send(300, 1, 2, 0), Passage::Arrives(800), "the other trouble is still on");
+        l.quicken(1, 2, slow);
+        assert_eq!(l.send(300, 1, 2, 0), Passage::Arrives(320));
     }
 
     #[test]
--- a/crates/ether/src/streams.rs
+++ b/crates/ether/src/streams.rs
@@ -118,11 +118,15 @@
         }
     }
 
-    /// Another line in place of the usual one, one way.
-    pub fn slow(&self, from: &str, to: &str, line: Option<Line>) {
+    /// Another line in place of the usual one, one way, until it is quickened by the same.
+    pub fn slow(&self, from: &str, to: &str, line: Line) {
         self.lines.borrow_mut().slow(self.number(from), self.number(to), line);
     }
 
+    pub fn quicken(&self, from: &str, to: &str, line: Line) {
+        self.lines.borrow_mut().quicken(self.number(from), self.number(to), line);
+    }
+
     fn way(&self, from: Host, to: Host) -> SharedWay {
         let way = Rc::new(RefCell::new(Way {
             from,
