A cache that skips digests is planted and found; power cuts tear disks; invokers' clocks skew

The laboratory had no fault of the cache among those planted, played no torn write, and gave invokers the record's own clock. Invokers now put each copy together and compare it byte for byte with its model (a line of the record, a figure, a reason for a search to fail); a power cut tears what a disk took last, the cache's index included; the store damages a share of its chunks; invokers work by skewed clocks and write the record by the one clock. A run's CPU is split between controllers and the rest.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,10 +1,10 @@
 //! `saltdrum lab`: experiments, their reports, and the search for failing days.
 
 use clap::Subcommand;
-use saltdrum_day::{POLICIES, Serve, serve};
+use saltdrum_day::{Cover, POLICIES, Serve, serve};
 use saltdrum_lab::hunt::{Bounds, hunt};
 use saltdrum_lab::{Experiment, Script, report, run};
-use saltdrum_rogue::{FAULTS, Fault, rogue};
+use saltdrum_rogue::{FAULTS, Fault, careless, rogue};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Instant;
@@ -95,10 +95,10 @@
         Lab::Hunt { day, days, seed, cuts, least_value, rule, jobs: n, out, plant } => {
             let (script, _) = crate::run::day(day)?;
             let base = Script::read(day, &script).map_err(|e| e.to_string())?;
-            let serve = planted(plant.as_deref())?;
+            let cover = planted(plant.as_deref())?;
             let bounds = Bounds { least_value: *least_value, only_rule: *rule };
             let began = Instant::now();
-            let found = hunt(&base, serve, bounds, *seed, *days, *cuts, jobs(*n))?;
+            let found = hunt(&base, cover, bounds, *seed, *days, *cuts, jobs(*n))?;
             let seconds = began.elapsed().as_secs_f64();
             match found {
                 None => {
@@ -122,17 +122,20 @@
     fs::write(out, text).map_err(|e| format!("{}: {e}", out.display()))
 }
 
-fn planted(name: Option<&str>) -> Result<Serve, String> {
-    let Some(name) = name else { return Ok(serve) };
+fn planted(name: Option<&str>) -> Result<Cover, String> {
+    let Some(name) = name else { return Ok(Cover::of(serve)) };
+    if name == "skips-digests" {
+        return Ok(Cover { serve, brings: Some(careless) });
+    }
     if let Some((_, serve)) = POLICIES.iter().find(|p| p.0 == name) {
-        return Ok(*serve);
+        return Ok(Cover::of(*serve));
     }
     let fault = FAULTS.iter().find(|f| f.0 == name).ok_or_else(|| {
-        let known: Vec<&str> = FAULTS.iter().map(|f| f.0).collect();
+        let known: Vec<&str> = FAULTS.iter().map(|f| f.0).chain(["skips-digests"]).collect();
         format!("--plant {name}: one of {} is expected", known.join(", "))
     })?;
     // A seat takes a plain function, so each fault has one of its own.
-    Ok(match fault.1 {
+    let serve: Serve = match fault.1 {
         Fault::None => |s, n, c| rogue(Fault::None, s, n, c),
         Fault::AnswersTwice => |s, n, c| rogue(Fault::AnswersTwice, s, n, c),
         Fault::AnswersNotAll => |s, n, c| rogue(Fault::AnswersNotAll, s, n, c),
@@ -143,5 +146,6 @@
         Fault::IgnoresDrains => |s, n, c| rogue(Fault::IgnoresDrains, s, n, c),
         Fault::FloodsColdOnes => |s, n, c| rogue(Fault::FloodsColdOnes, s, n, c),
         Fault::LoadsAtWill => |s, n, c| rogue(Fault::LoadsAtWill, s, n, c),
-    })
+    };
+    Ok(Cover::of(serve))
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -100,6 +100,7 @@
             stated,
             network: Rc::new(Sockets),
             clock,
+            hour: clock,
             turns,
             record: record.clone(),
             at,
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -99,6 +99,8 @@
     ListLost,
     LineCut,
     LineSlow,
+    PowerCut,
+    StoreDamages,
 }
 
 const KINDS: &[(&str, Kind)] = &[
@@ -128,6 +130,8 @@
     ("list_lost", Kind::ListLost),
     ("line_cut", Kind::LineCut),
     ("line_slow", Kind::LineSlow),
+    ("power_cut", Kind::PowerCut),
+    ("store_damages", Kind::StoreDamages),
 ];
 
 #[derive(Clone, Debug)]
@@ -407,7 +411,13 @@
         // Those that strike all where none are named would end the day.
         let strikes_invokers = matches!(
             kind,
-            Kind::Crash | Kind::Slow | Kind::Hang | Kind::Ageing | Kind::StuckSockets | Kind::HalfFrames
+            Kind::Crash
+                | Kind::PowerCut
+                | Kind::Slow
+                | Kind::Hang
+                | Kind::Ageing
+                | Kind::StuckSockets
+                | Kind::HalfFrames
         );
         let strikes_controllers = matches!(
             kind,
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -12,7 +12,8 @@
 use saltdrum_layers::plan::Member;
 use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::Life;
-use saltdrum_standin::invoker::{self, Site, Tokens};
+use saltdrum_standin::disk::TearingDisk;
+use saltdrum_standin::invoker::{self, Brings, Site, Tokens};
 use saltdrum_standin::record::{self, Line, Record, Who};
 use saltdrum_standin::{Invoker, List, Registry, Store};
 use std::cell::{Cell, RefCell};
@@ -62,6 +63,21 @@
     Box::pin(saltdrum_controller::serve(seat, network, clock, by_design))
 }
 
+/// Who is put in the real ones' places.
+#[derive(Clone, Copy)]
+pub struct Cover {
+    pub serve: Serve,
+    /// Brings models to invokers in place of their agents, on days with layers.
+    pub brings: Option<Brings>,
+}
+
+impl Cover {
+    /// A controller alone; models come through the agents.
+    pub fn of(serve: Serve) -> Self {
+        Self { serve, brings: None }
+    }
+}
+
 /// Controllers by how they decide: the design, and baselines for comparison.
 pub const POLICIES: &[(&str, Serve)] = &[
     ("design", serve),
@@ -94,13 +110,18 @@
 /// Plays a day on the machine's sockets.
 pub fn play_on_sockets(day: &Day, folder: &Path) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, play(day.clone(), Some(folder), serve))
+    LocalSet::new().block_on(&runtime, play(day.clone(), Some(folder), Cover::of(serve)))
 }
 
 /// Plays a day in virtual time, on in-memory streams.
 pub fn play_virtually(day: &Day, serve: Serve) -> io::Result<Vec<Line>> {
+    play_covered(day, Cover::of(serve))
+}
+
+/// As [`play_virtually`], with others in the places of the real ones.
+pub fn play_covered(day: &Day, cover: Cover) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
-    LocalSet::new().block_on(&runtime, play(day.clone(), None, serve))
+    LocalSet::new().block_on(&runtime, play(day.clone(), None, cover))
 }
 
 fn stated(terms: &Terms) -> record::Stated {
@@ -145,7 +166,7 @@
 }
 
 /// Plays a day on the `LocalSet` this is called on, and gives the record, in order of time.
-async fn play(day: Day, folder: Option<&Path>, serve: Serve) -> io::Result<Vec<Line>> {
+async fn play(day: Day, folder: Option<&Path>, cover: Cover) -> io::Result<Vec<Line>> {
     let (clock, record, turns) = (Clock::start(), Record::default(), Turns::default());
     let cast = match folder {
         Some(folder) => Cast::Threads(folder.to_owned()),
@@ -172,11 +193,13 @@
     let registry_address = registry.open(&*cast.host("store"), &any("registry")).await?;
     // What folders hold is gone with the day.
     let cellar = tempfile::Builder::new().prefix("saltdrum-layers-").tempdir()?;
+    let mut models = BTreeMap::new();
     if day.layers != Layers::Off {
         for f in day.terms.functions.values() {
             let mut rng = fastrand::Rng::with_seed(f.id);
             let model: Vec<u8> = (0..day.model_bytes).map(|_| rng.u8(..)).collect();
             registry.push(&f.name, "current", &model)?;
+            models.insert(f.name.clone(), model);
         }
         // One model at full pace takes as long as the fetch of a mean load.
         let loads = day.terms.functions.values().map(|f| f.load.unwrap_or(SECOND) as f64 / SECOND as f64);
@@ -184,14 +207,16 @@
         registry.bytes_per_second.set(day.model_bytes as f64 / (FETCH_SHARE * mean));
         registry.full_pace.set(FULL_PACE);
     }
-    let (terms, tokens) = (Rc::new(day.terms.clone()), Tokens::default());
+    let (terms, tokens, models) = (Rc::new(day.terms.clone()), Tokens::default(), Rc::new(models));
     let mut invokers = BTreeMap::new();
     for stated in &day.terms.invokers {
+        let own = clock_of(&day, &cast, clock, 0x1c10c, stated.invoker);
         let site = Site {
             terms: terms.clone(),
             stated: stated.clone(),
             network: cast.host(&format!("invoker-{}", stated.invoker)),
-            clock,
+            clock: own,
+            hour: clock,
             turns: turns.clone(),
             record: record.clone(),
             at: RefCell::new(any(&format!("invoker-{}", stated.invoker))),
@@ -204,6 +229,9 @@
                 cache_bytes: 1 << 30,
                 registry: registry_address.clone(),
                 at: RefCell::new(any(&format!("agent-{}", stated.invoker))),
+                disk: Rc::new(TearingDisk::new(own)),
+                models: models.clone(),
+                brings: cover.brings,
             }),
         };
         let invoker = Invoker::new(site);
@@ -218,7 +246,7 @@
     let day = Rc::new(day);
     let clients = Clients::new(day.clone(), cast.host("clients"), clock, turns, record.clone());
     let stage = Rc::new(Stage {
-        serve,
+        serve: cover.serve,
         start: clock.now() + SECOND / 2,
         day,
         cast,
@@ -251,6 +279,19 @@
     lines
 }
 
+/// The own clock of a controller or invoker. Nothing that one says to others may hang on the hour. On the machine's
+/// sockets all have the machine's.
+fn clock_of(day: &Day, cast: &Cast, clock: Clock, salt: u64, of: u32) -> Clock {
+    if matches!(cast, Cast::Threads(_)) {
+        return clock;
+    }
+    let n = &day.network;
+    let mut rng = fastrand::Rng::with_seed(day.seed ^ salt ^ (u64::from(of) << 20));
+    let ahead = Duration::from_micros(rng.u64(0..=n.clocks_ahead) * 100);
+    let drift = i64::from(n.clocks_drift);
+    clock.skewed(ahead, rng.i64(-drift..=drift))
+}
+
 /// Share of a load that is the fetch, and fetches that the store serves at full pace.
 const FETCH_SHARE: f64 = 0.6;
 const FULL_PACE: f64 = 6.0;
@@ -332,7 +373,7 @@
                 let network = ether.host(&format!("controller-{controller}"));
                 let seat = seat(terms, address.clone(), list, seed);
                 let (hold, noted) = (Hold::default(), self.record.clone());
-                let skewed = self.skewed(controller);
+                let skewed = clock_of(&self.day, &self.cast, clock, 0xc10c, controller);
                 let living = async move {
                     let watch = turning(Turns::default(), clock, move |now, gap| {
                         let thread = format!("controller-{controller}");
@@ -388,15 +429,6 @@
         }
     }
 
-    /// A controller's own clock. Nothing that it says to others may hang on the hour.
-    fn skewed(&self, controller: u32) -> Clock {
-        let n = &self.day.network;
-        let mut rng = fastrand::Rng::with_seed(self.day.seed ^ 0xc10c ^ (u64::from(controller) << 20));
-        let ahead = Duration::from_micros(rng.u64(0..=n.clocks_ahead) * 100);
-        let drift = i64::from(n.clocks_drift);
-        self.clock.skewed(ahead, rng.i64(-drift..=drift))
-    }
-
     /// Does something to the lines between the struck controllers and invokers, one way or both.
     fn lines(&self, t: &Trouble, change: impl Fn(&Ether, &str, &str)) {
         let Cast::Virtual(ether) = &self.cast else {
@@ -497,8 +529,13 @@
 
     /// The process dies; what its agent counted is kept.
     fn crash(&self, invoker: u32) {
-        let i = &self.invokers[&invoker];
-        if let Some(agent) = i.agent() {
+        self.count_agent(invoker);
+        self.invokers[&invoker].crash();
+    }
+
+    /// What its agent counted goes with it otherwise.
+    fn count_agent(&self, invoker: u32) {
+        if let Some(agent) = self.invokers[&invoker].agent() {
             let c: &Counts = &agent.counts;
             let [a, b, d, e, f] = self.layers.get();
             self.layers.set([
@@ -509,7 +546,6 @@
                 f + c.damaged.get() + agent.cache.counts.damaged.get(),
             ]);
         }
-        i.crash();
     }
 
     /// Tells the list, which is late with what it knows.
@@ -547,6 +583,25 @@
                     self.restart(*i).await;
                 }
             }
+            Kind::PowerCut => {
+                for i in t.invokers.iter().filter(|i| self.invokers[i].is_up()) {
+                    self.count_agent(*i);
+                    match self.invokers[i].lose_power(t.delay, t.part).await {
+                        Ok(torn) => info!(invoker = *i, torn, "the power goes"),
+                        Err(e) => warn!(invoker = *i, %e, "its disk could not be torn"),
+                    }
+                    self.list_later(*i, Life::Gone);
+                }
+                self.sleep(t.lasts).await;
+                for i in &t.invokers {
+                    self.restart(*i).await;
+                }
+            }
+            Kind::StoreDamages => {
+                self.registry.damage(t.part);
+                self.sleep(t.lasts).await;
+                self.registry.faults.borrow_mut().damaged.clear();
+            }
             Kind::ZoneCut => {
                 let cut: Vec<u32> = self
                     .invokers
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -62,6 +62,10 @@
     pub from_store: u64,
     /// Seen and thrown away.
     pub damaged: u64,
+    /// Put together and compared with their models by the invokers.
+    pub copies: u64,
+    /// Of these, not the model: none may be.
+    pub unsound: u64,
 }
 
 /// Loads of copies, however their models came.
@@ -107,6 +111,7 @@
 /// Sums up a record.
 pub fn sum_up(day: &str, lines: &[Line], rules: Vec<Verdict>) -> Summary {
     let mut all: BTreeMap<u64, One> = BTreeMap::new();
+    let (mut copies, mut unsound) = (0, 0);
     let (mut loads, mut layers) = (Loads::default(), None);
     let mut value: BTreeMap<String, f64> = BTreeMap::new();
     let mut load_times = Histogram::<u64>::new(3).expect("three digits are allowed");
@@ -167,8 +172,14 @@
                     from_peers: *from_peers,
                     from_store: *from_store,
                     damaged: *damaged,
+                    copies,
+                    unsound,
                 });
             }
+            Line::Copied { sound, .. } => {
+                copies += 1;
+                unsound += u64::from(!sound);
+            }
             Line::Dispatched { .. } => tries.dispatches += 1,
             Line::Ordered { count: 1.., .. } => tries.orders_to_load += 1,
             Line::Fetched { refused, .. } => {
@@ -333,7 +344,8 @@
         );
         if let Some(l) = &self.layers {
             out += &format!(
-                "{} chunks: {} store requests ({:.2} a chunk, {:.1} MB); had from cache {}, peers {}, store {}; {} damaged\n",
+                "{} chunks: {} store requests ({:.2} a chunk, {:.1} MB); had from cache {}, peers {}, store {}; {} damaged\n\
+                 {} copies compared with their models, {} of them not the model\n",
                 l.chunks,
                 l.store_requests,
                 l.store_requests as f64 / l.chunks.max(1) as f64,
@@ -341,7 +353,9 @@
                 l.from_cache,
                 l.from_peers,
                 l.from_store,
-                l.damaged
+                l.damaged,
+                l.copies,
+                l.unsound
             );
         }
         for r in &self.rules {
--- a/crates/lab/src/draw.rs
+++ b/crates/lab/src/draw.rs
@@ -28,6 +28,8 @@
     ("controller_roll", &["controllers", "batch"]),
     ("controller_stall", &["controllers"]),
     ("line_cut", &["controllers", "invokers", "one_way"]),
+    ("power_cut", &["invokers", "part", "delay"]),
+    ("store_damages", &["part"]),
     ("line_slow", &["controllers", "invokers", "delay"]),
 ];
 
--- a/crates/lab/src/facts.rs
+++ b/crates/lab/src/facts.rs
@@ -47,7 +47,9 @@
     measure("load_p99_ms", "load p99 ms", false),
     measure("busiest", "busiest invoker over the mean", false),
     measure("broken", "rules broken", false),
+    measure("unsound", "copies not their model", false),
     measure("cpu_us", "CPU us an invocation", false),
+    measure("controllers_us", "of it controllers", false),
 ];
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -88,8 +90,16 @@
 
 const SLOWEST: usize = 6;
 
-/// Sums a record up. `cpu_s` is what the run cost, where that was measured.
-pub fn of(lines: &[Line], cpu_s: Option<f64>) -> Result<(Vec<Row>, Facts), String> {
+/// What a run cost, in seconds of one core.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    pub all_s: f64,
+    /// Of these, in controllers.
+    pub controllers_s: f64,
+}
+
+/// Sums a record up. `cost` is what the run cost, where that was measured.
+pub fn of(lines: &[Line], cost: Option<Cost>) -> Result<(Vec<Row>, Facts), String> {
     let verdicts = check(lines)?;
     let mut bytes = Vec::new();
     write(lines, &mut bytes).map_err(|e| e.to_string())?;
@@ -180,7 +190,9 @@
         ("load_p99_ms", if summary.loads.ended_well > 0 { summary.loads.p99_ms } else { f64::NAN }),
         ("busiest", busiest),
         ("broken", summary.rules.iter().filter(|v| v.state == State::Broken).count() as f64),
-        ("cpu_us", cpu_s.map_or(f64::NAN, |s| s * 1e6 / counted)),
+        ("unsound", summary.layers.as_ref().map_or(f64::NAN, |l| l.unsound as f64)),
+        ("cpu_us", cost.map_or(f64::NAN, |c| c.all_s * 1e6 / counted)),
+        ("controllers_us", cost.map_or(f64::NAN, |c| c.controllers_s * 1e6 / counted)),
     ];
     let measures = figures.into_iter().map(|(k, v)| (k.to_owned(), v.is_finite().then_some(v))).collect();
     Ok((rows, Facts { measures, invokers, troubles, slow, rules: rules.collect(), digest }))
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -3,7 +3,7 @@
 use crate::draw::troubled;
 use crate::shrink::{Shrunk, shrink};
 use crate::{Script, facts};
-use saltdrum_day::{Serve, play_virtually};
+use saltdrum_day::{Cover, play_covered};
 
 /// What a day must keep besides the rules.
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,10 +24,10 @@
     pub days: usize,
 }
 
-/// Which way a day fails, in words that stay the same while it is cut down: `rule 3`, `value`. None: it does not.
-fn fails(script: &Script, serve: Serve, bounds: Bounds) -> Option<(String, String)> {
+/// Which way a day fails, in words that stay the same while it is cut down: `rule 3`, `copy`, `value`. None: it does not.
+fn fails(script: &Script, cover: Cover, bounds: Bounds) -> Option<(String, String)> {
     let day = script.day().ok()?;
-    let played = std::panic::catch_unwind(|| play_virtually(&day, serve));
+    let played = std::panic::catch_unwind(|| play_covered(&day, cover));
     let lines = match played {
         Ok(Ok(lines)) => lines,
         Ok(Err(e)) => return Some(("play".into(), e.to_string())),
@@ -45,6 +45,9 @@
     if bounds.only_rule.is_some() {
         return None;
     }
+    if let Some(n) = facts.measures["unsound"].filter(|n| *n > 0.0) {
+        return Some(("copy".into(), format!("{n} copies were not their model, and were used")));
+    }
     let value = facts.measures["value"]?;
     let short = bounds.least_value.filter(|least| value < *least)?;
     Some(("value".into(), format!("billed value in time {value:.3}, at least {short:.3} is expected")))
@@ -54,7 +57,7 @@
 /// cut down with `cuts` days at the most. Whatever the number of threads, the same is found.
 pub fn hunt(
     base: &Script,
-    serve: Serve,
+    cover: Cover,
     bounds: Bounds,
     seed: u64,
     days: usize,
@@ -69,7 +72,7 @@
                 let (base, day) = (base.clone(), day.clone());
                 let seed = seed + n as u64;
                 scope.spawn(move || {
-                    fails(&troubled(&base, &day, seed), serve, bounds).map(|how| (n, seed, how))
+                    fails(&troubled(&base, &day, seed), cover, bounds).map(|how| (n, seed, how))
                 })
             };
             let all: Vec<_> = (first..days.min(first + threads)).map(play).collect();
@@ -78,10 +81,10 @@
         });
         if let Some((n, seed, (kind, _))) = found?.into_iter().flatten().next() {
             let failing = troubled(base, &day, seed);
-            let same = |s: &Script| fails(s, serve, bounds).is_some_and(|(k, _)| k == kind);
+            let same = |s: &Script| fails(s, cover, bounds).is_some_and(|(k, _)| k == kind);
             let shrunk = shrink(failing, cuts, same);
             let why =
-                fails(&shrunk.script, serve, bounds).map_or(kind, |(kind, why)| format!("{kind}: {why}"));
+                fails(&shrunk.script, cover, bounds).map_or(kind, |(kind, why)| format!("{kind}: {why}"));
             return Ok(Some(Found { seed, why, shrunk, days: n + 1 }));
         }
     }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -2,7 +2,8 @@
 
 use crate::Experiment;
 use crate::experiment::Variant;
-use crate::facts;
+use crate::facts::{self, Cost};
+use crate::meter::{cpu_s, metered};
 use crate::plan::{Cell, Progress};
 use crate::results::{self, Made};
 use saltdrum_day::{POLICIES, play_virtually};
@@ -39,11 +40,6 @@
     pub digest: String,
 }
 
-fn cpu_s() -> f64 {
-    let t = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
-    t.tv_sec as f64 + t.tv_nsec as f64 / 1e9
-}
-
 /// All that a run's result hangs on: script, policy, and the program's bytes.
 fn key(script: &str, v: &Variant, programs: &BTreeMap<String, String>) -> String {
     let program = v.program.as_ref().map_or(String::new(), |p| p.display().to_string());
@@ -56,15 +52,18 @@
     Ok(blake3::hash(&bytes).to_hex().to_string())
 }
 
-fn play(x: &Experiment, cell: Cell) -> Result<(Vec<Line>, Option<f64>), String> {
+fn play(x: &Experiment, cell: Cell) -> Result<(Vec<Line>, Option<Cost>), String> {
     let (script, v) = (x.script(cell), &x.variants[cell.variant]);
     let Some(program) = &v.program else {
         let day = script.day().map_err(|e| e.to_string())?;
         let serve =
             POLICIES.iter().find(|(name, _)| *name == v.policy).expect("it was looked for at reading").1;
         let before = cpu_s();
-        let lines = play_virtually(&day, serve).map_err(|e| e.to_string())?;
-        return Ok((lines, Some(cpu_s() - before)));
+        let (lines, controllers_s) = metered(serve, |serve| play_virtually(&day, serve));
+        return Ok((
+            lines.map_err(|e| e.to_string())?,
+            Some(Cost { all_s: cpu_s() - before, controllers_s }),
+        ));
     };
     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
     let (day, kept) = (folder.path().join("day.star"), folder.path().join("record"));
--- /dev/null
+++ b/crates/lab/tests/found/skips-digests.star
@@ -0,0 +1,11 @@
+# Found by a search, cut down. It fails with copy: 4 copies were not their model, and were used
+deployment(cold_share = 0.3, cold_time = "1s", controllers = 1, drain_grace = "200ms", keep_alive = "2s", tip_factor = 2, tip_window = "1s")
+machine("box", cores = 2, memory = "4GB")
+invokers(count = 1, kind = "box")
+trigger_type("narrate", client_timeout = "6s", objective = "2s")
+tenant("hill", quota_per_s = 90)
+function("voice", lanes = 8, load_time = "400ms", memory = "3GB", trigger = "narrate")
+function("tour", lanes = 8, load_time = "400ms", memory = "3GB", trigger = "narrate")
+day("layers", layers = "shared", length = "375ms", list_notice = "100ms", model = "1MB", seed = 28)
+traffic(functions = ["voice", "tour"], per_second = 20, tenant = "hill", work = "30ms")
+trouble("power_cut", at = "557ms", delay = "1111ms", invokers = [1], lasts = "172ms", part = 0.74)
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -1,9 +1,10 @@
 //! Experiments and searches on real days, small ones.
 
-use saltdrum_day::{DAYS, Serve};
+use saltdrum_day::{Cover, DAYS, Serve};
 use saltdrum_lab::hunt::{Bounds, hunt};
 use saltdrum_lab::{Experiment, Script, results, run};
-use saltdrum_rogue::{Fault, rogue};
+use saltdrum_rogue::{Fault, careless, rogue};
+use saltdrum_standin::record::Line;
 use std::fs;
 use std::path::Path;
 
@@ -104,9 +105,10 @@
 fn a_day_that_goes_below_its_bound_is_found_and_one_that_keeps_all_is_not() {
     let base = Script::read("small", SMALL).unwrap();
     let of = |least| Bounds { least_value: Some(least), only_rule: None };
-    let found = hunt(&base, saltdrum_day::serve, of(0.9), 1, 40, 40, 4).unwrap().unwrap();
+    let real = Cover::of(saltdrum_day::serve);
+    let found = hunt(&base, real, of(0.9), 1, 40, 40, 4).unwrap().unwrap();
     assert!(found.why.starts_with("value: billed value"), "{}", found.why);
-    assert!(hunt(&base, saltdrum_day::serve, of(0.0), 1, 12, 40, 4).unwrap().is_none());
+    assert!(hunt(&base, real, of(0.0), 1, 12, 40, 4).unwrap().is_none());
 }
 
 /// Each must be found in this many days, and be left with little.
@@ -114,9 +116,10 @@
 
 fn planted(rule: u8, serve: Serve) {
     let base = Script::read("small", SMALL).unwrap();
-    let found = hunt(&base, serve, Bounds { only_rule: Some(rule), least_value: None }, 1, BUDGET, 120, 4)
-        .unwrap()
-        .unwrap();
+    let found =
+        hunt(&base, Cover::of(serve), Bounds { only_rule: Some(rule), least_value: None }, 1, BUDGET, 120, 4)
+            .unwrap()
+            .unwrap();
     assert!(found.why.starts_with(&format!("rule {rule}: ")), "{}", found.why);
     let again = Script::read("shrunk.star", &found.shrunk.script.text()).unwrap();
     let day = again.day().unwrap();
@@ -144,6 +147,67 @@
     planted(3, |s, n, c| rogue(Fault::IgnoresDrains, s, n, c));
 }
 
+const WITH_LAYERS: &str = r#"
+deployment(controllers = 1, keep_alive = "2s", cold_share = 0.3, cold_time = "1s", tip_factor = 2, tip_window = "1s",
+    drain_grace = "200ms")
+machine("box", memory = "4GB", cores = 2)
+invokers(kind = "box", count = 3)
+trigger_type("narrate", objective = "2s", client_timeout = "6s")
+tenant("hill", quota_per_s = 90)
+function("voice", trigger = "narrate", memory = "3GB", lanes = 8, load_time = "400ms")
+function("tour", trigger = "narrate", memory = "3GB", lanes = 8, load_time = "400ms")
+day("layers", length = "6s", seed = 4, list_notice = "100ms", layers = "shared", model = "1MB")
+traffic(tenant = "hill", functions = ["voice", "tour"], per_second = 20, work = "30ms")
+"#;
+
+fn copies(day: &saltdrum_day::Day, cover: Cover) -> (usize, usize) {
+    let lines = saltdrum_day::play_covered(day, cover).unwrap();
+    let of = |l: &Line| if let Line::Copied { sound, .. } = l { Some(*sound) } else { None };
+    let all: Vec<bool> = lines.iter().filter_map(of).collect();
+    (all.len(), all.iter().filter(|sound| !**sound).count())
+}
+
+#[test]
+fn a_cache_that_skips_a_digest_is_found() {
+    let base = Script::read("layers", WITH_LAYERS).unwrap();
+    let planted = Cover { serve: saltdrum_day::serve, brings: Some(careless) };
+    let found = hunt(&base, planted, Bounds::default(), 1, BUDGET, 60, 4).unwrap().unwrap();
+    assert!(found.why.starts_with("copy: "), "{}", found.why);
+    let day = found.shrunk.script.day().unwrap();
+    assert!(copies(&day, planted).1 > 0);
+    // The real one, on the very day, loads as much and throws away what is damaged.
+    let (all, unsound) = copies(&day, Cover::of(saltdrum_day::serve));
+    assert!(all > 0 && unsound == 0, "{all} {unsound}");
+    let kept = saltdrum_day::Day::load("found", include_str!("found/skips-digests.star")).unwrap();
+    assert!(copies(&kept, planted).1 > 0 && copies(&kept, Cover::of(saltdrum_day::serve)).1 == 0);
+}
+
+#[test]
+fn torn_disks_and_a_damaged_store_cost_fetches_and_never_a_copy() {
+    let text = format!(
+        "{WITH_LAYERS}\
+         network(delay = '1ms', clocks_ahead = '2h', clocks_drift_ppm = 200)\n\
+         trouble('store_damages', at = '500ms', lasts = '1s', part = 0.6)\n\
+         trouble('power_cut', at = '2s', lasts = '500ms', invokers = [1, 2], part = 0.9, delay = '10s')\n\
+         trouble('power_cut', at = '4s', lasts = '500ms', invokers = [1, 3], part = 0.9, delay = '10s')\n"
+    );
+    let day = saltdrum_day::Day::load("torn", &text).unwrap();
+    let (mut damaged, mut all) = (0, 0);
+    for seed in 0..6 {
+        let day = saltdrum_day::Day { seed, ..day.clone() };
+        let lines = saltdrum_day::play_virtually(&day, saltdrum_day::serve).unwrap();
+        let verdicts = saltdrum_day::check::check(&lines).unwrap();
+        assert!(verdicts.iter().all(|v| v.state != saltdrum_day::State::Broken), "seed {seed}");
+        let sum = saltdrum_day::summary::sum_up("torn", &lines, verdicts).layers.unwrap();
+        assert_eq!(sum.unsound, 0, "seed {seed}");
+        (damaged, all) = (damaged + sum.damaged, all + sum.copies);
+    }
+    assert!(
+        damaged > 0 && all > 20,
+        "{damaged} damaged chunks seen, {all} copies: the day provokes too little"
+    );
+}
+
 #[test]
 fn days_that_come_with_the_program_are_known_to_experiments() {
     let text = format!(
--- a/crates/rogue/src/lib.rs
+++ b/crates/rogue/src/lib.rs
@@ -1,4 +1,9 @@
-//! A controller that breaks rules on purpose, one at a time. It shares no code with the real one or the checker.
+//! A controller that breaks rules on purpose, one at a time, and a cache that never looks at a digest. They share no code
+//! with the real ones or the checker.
+
+mod careless;
+
+pub use careless::careless;
 
 use bytes::{Bytes, BytesMut};
 use saltdrum_controller::Seat;
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -1,12 +1,13 @@
 //! An invoker: sockets round a [`Machine`], and the faults it can be told to show.
 
+use crate::disk::TearingDisk;
 use crate::machine::{Ask, Build, Job, Machine, Order, Shape, Yard};
 use crate::record::{Line, Record, Try, Who};
 use bytes::BytesMut;
 use saltdrum::port::{Effect, FnId, MILLI, Scope, Tenths};
 use saltdrum_agent::{Agent, Peer, Seat};
 use saltdrum_deployment::{Terms, terms};
-use saltdrum_layers::cache::{Cache, RealDisk};
+use saltdrum_layers::cache::{Cache, Disk};
 use saltdrum_link::{Address, Clock, Half, Network, Outbox, Read, Stream, Turns, halves};
 use saltdrum_protocol::frame::{cut, encode};
 use saltdrum_protocol::invoker as wire;
@@ -14,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -49,7 +51,10 @@
     pub terms: Rc<Terms>,
     pub stated: terms::Stated,
     pub network: Rc<dyn Network>,
+    /// Its own, by which it works.
     pub clock: Clock,
+    /// The record's, which is the same for all.
+    pub hour: Clock,
     pub turns: Turns,
     pub record: Record,
     /// A port 0 becomes a real one at the first start, and is kept.
@@ -71,8 +76,24 @@
     pub registry: Address,
     /// A port 0 becomes a real one at the first start, and is kept.
     pub at: RefCell<Address>,
+    pub disk: Rc<TearingDisk>,
+    /// By name, what each model is: copies are compared with it, whoever brought them.
+    pub models: Rc<BTreeMap<String, Vec<u8>>>,
+    /// Brings models in place of the agent.
+    pub brings: Option<Brings>,
 }
 
+/// Where something that brings models finds the store, and where it may keep what it likes over its lives.
+pub struct Supply {
+    pub network: Rc<dyn Network>,
+    pub registry: Address,
+    pub disk: Rc<dyn Disk>,
+    pub folder: PathBuf,
+}
+
+/// Brings the bytes of the model of this name; none where it could not be had.
+pub type Brings = fn(Supply, String) -> Pin<Box<dyn Future<Output = Option<Vec<u8>>>>>;
+
 pub struct Invoker {
     pub site: Site,
     pub faults: RefCell<Faults>,
@@ -122,7 +143,6 @@
 /// Hands what the machine says to the sockets and the record.
 struct Desk<'a> {
     this: &'a Rc<Invoker>,
-    now: Tenths,
     links: &'a BTreeMap<u64, (Who, Outbox)>,
     jobs: &'a mut BTreeMap<Job, Held>,
     load: wire::Load,
@@ -134,10 +154,11 @@
     fn begins(&mut self, job: Job) -> bool {
         let Some(h) = self.jobs.get(&job).cloned() else { return true };
         let site = &self.this.site;
-        let repeat = h.token.as_ref().is_some_and(|t| site.knows(&h.trigger, t, self.now));
+        let at = site.hour.now();
+        let repeat = h.token.as_ref().is_some_and(|t| site.knows(&h.trigger, t, at));
         let invoker = site.stated.invoker;
         site.record.note(Line::Ran {
-            at: self.now,
+            at,
             invoker,
             who: h.who,
             invocation: h.invocation,
@@ -171,7 +192,8 @@
 
     fn loaded(&mut self, function: FnId, took: Tenths, ok: bool) {
         let invoker = self.this.site.stated.invoker;
-        self.this.site.record.note(Line::Loaded { at: self.now, invoker, function, took, ok });
+        let at = self.this.site.hour.now();
+        self.this.site.record.note(Line::Loaded { at, invoker, function, took, ok });
     }
 }
 
@@ -208,7 +230,8 @@
         let told = link.is_some() && !faults.half_frames;
         let (invoker, ended) = (self.this.site.stated.invoker, format!("{ended:?}").to_lowercase());
         let Held { who, invocation, hop, of, .. } = h;
-        let line = Line::Ended { at: self.now, invoker, who, invocation, hop, of, ended, told };
+        let at = self.this.site.hour.now();
+        let line = Line::Ended { at, invoker, who, invocation, hop, of, ended, told };
         self.this.site.record.note(line);
     }
 }
@@ -294,7 +317,7 @@
         let (mut door, address) = self.site.network.listen(&at).await?;
         *self.site.at.borrow_mut() = address.clone();
         let agent = match &self.site.layers {
-            None => None,
+            None | Some(Layers { brings: Some(_), .. }) => None,
             Some(layers) => Some(self.start_agent(layers).await?),
         };
         let now = self.site.clock.now();
@@ -309,7 +332,8 @@
             life.incarnation
         };
         let invoker = self.site.stated.invoker;
-        self.site.record.note(Line::Invoker { at: now, invoker, incarnation, up: true, cold });
+        let at = self.site.hour.now();
+        self.site.record.note(Line::Invoker { at, invoker, incarnation, up: true, cold });
         let (this, ticking) = (Rc::downgrade(self), self.clone());
         let mut tasks = self.tasks.borrow_mut();
         tasks.spawn_local(async move {
@@ -327,7 +351,7 @@
         let at = layers.at.borrow().clone();
         let (door, address) = self.site.network.listen(&at).await?;
         *layers.at.borrow_mut() = address;
-        let cache = Cache::open(&layers.folder, layers.cache_bytes, Rc::new(RealDisk))?;
+        let cache = Cache::open(&layers.folder, layers.cache_bytes, layers.disk.clone())?;
         let seat = Seat {
             me: self.site.stated.invoker,
             seed: self.site.seed ^ 0xa6e7,
@@ -354,7 +378,7 @@
     /// The process dies: links, work and copies are gone.
     pub fn crash(&self) {
         self.tasks.borrow_mut().abort_all();
-        let now = self.site.clock.now();
+        let at = self.site.hour.now();
         let life = &mut *self.life.borrow_mut();
         life.links.clear();
         life.jobs.clear();
@@ -363,7 +387,18 @@
         }
         life.up = false;
         let (invoker, incarnation) = (self.site.stated.invoker, life.incarnation);
-        self.site.record.note(Line::Invoker { at: now, invoker, incarnation, up: false, cold: false });
+        self.site.record.note(Line::Invoker { at, invoker, incarnation, up: false, cold: false });
+    }
+
+    /// As `crash`; of what its disk took in the last `late`, each write is torn with a chance of `part`, once nothing
+    /// holds the files any more. Tells how many were.
+    pub async fn lose_power(&self, late: Tenths, part: f64) -> std::io::Result<usize> {
+        let since = self.site.clock.now().saturating_sub(late);
+        self.crash();
+        // What was aborted is dropped when its turn comes, and with it the files that it holds.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let Some(layers) = &self.site.layers else { return Ok(0) };
+        layers.disk.tear(since, part, &mut self.life.borrow_mut().rng)
     }
 
     pub fn is_up(&self) -> bool {
@@ -411,7 +446,6 @@
         let load = life.reports[0].1;
         let mut desk = Desk {
             this: self,
-            now,
             links: &life.links,
             jobs: &mut life.jobs,
             load,
@@ -455,10 +489,14 @@
         let stated = self.site.terms.functions.values().find(|f| f.id == function);
         let load = stated.and_then(|f| f.load).unwrap_or(1_000 * MILLI) as f64;
         let usual_tenths = (load * self.site.fetch_share) as Tenths;
-        if let Some(agent) = self.agent() {
+        if let Some(layers) = &self.site.layers {
             let name = stated.map_or("none", |f| f.name.as_str());
             // The copy is in memory from here on; its chunks need not be pinned any more.
-            return agent.load(name, "current").await.is_ok();
+            let Some(copy) = self.bring(layers, name).await else { return false };
+            let (at, invoker) = (self.site.hour.now(), self.site.stated.invoker);
+            let sound = layers.models.get(name).is_some_and(|m| *m == copy);
+            self.site.record.note(Line::Copied { at, invoker, function, sound });
+            return true;
         }
         let Some(store) = &self.site.store else {
             tokio::time::sleep(Duration::from_micros(usual_tenths * 100)).await;
@@ -494,6 +532,23 @@
         false
     }
 
+    async fn bring(&self, layers: &Layers, name: &str) -> Option<Vec<u8>> {
+        if let Some(brings) = layers.brings {
+            let (network, registry) = (self.site.network.clone(), layers.registry.clone());
+            let (disk, folder) = (layers.disk.clone(), layers.folder.clone());
+            return brings(Supply { network, registry, disk, folder }, name.to_owned()).await;
+        }
+        // A chunk that the disk loses between load and read is fetched anew, once.
+        for _ in 0..2 {
+            let loaded = self.agent()?.load(name, "current").await.ok()?;
+            let parts: Option<Vec<_>> = loaded.manifest.chunks.iter().map(|c| loaded.read(c)).collect();
+            if let Some(parts) = parts {
+                return Some(parts.concat());
+            }
+        }
+        None
+    }
+
     async fn unstuck(&self, from: Option<u32>) {
         let stuck = |f: &Faults| f.stuck || from.is_some_and(|c| f.cut_from.contains(&c));
         while stuck(&self.faults.borrow()) {
@@ -505,7 +560,7 @@
         self.unstuck(None).await;
         let (input, mut output) = halves(stream);
         let clock = self.site.clock;
-        let mut read = Read::new(input, clock, self.site.turns.clone());
+        let mut read = Read::new(input, self.site.hour, self.site.turns.clone());
         let Some((kind, body, _)) = next_frame(&mut read).await else { return };
         let hello = match wire::FromController::read(kind, &body) {
             Ok(wire::FromController::Hello(h)) => h,
@@ -554,7 +609,7 @@
             self.unstuck(Some(who.controller)).await;
             let Some((kind, body, earliest)) = next_frame(read).await else { return };
             let Ok(message) = wire::FromController::read(kind, &body) else { return };
-            let (at, invoker) = (self.site.clock.now(), self.site.stated.invoker);
+            let (at, invoker) = (self.site.hour.now(), self.site.stated.invoker);
             match message {
                 wire::FromController::Dispatch(d) => self.take(link, who, d, earliest),
                 wire::FromController::Cancel(c) => {
@@ -585,7 +640,7 @@
     }
 
     fn take(self: &Rc<Self>, link: u64, who: Who, d: wire::Dispatch, earliest: Tenths) {
-        let (at, job) = (self.site.clock.now(), (link, d.dispatch));
+        let (at, job) = (self.site.hour.now(), (link, d.dispatch));
         let input: Input = serde_json::from_slice(&d.input).unwrap_or_default();
         let of = Try { n: input.n, attempt: input.attempt };
         let (invoker, invocation, hop, trigger) =
@@ -603,8 +658,11 @@
         let held = Held { who, invocation, hop, of, trigger, token: d.token };
         self.life.borrow_mut().past.insert(job, (invocation, hop));
         let faults = self.faults.borrow().clone();
-        let ask =
-            Ask { function: d.function, work: input.work_ms * MILLI as f64, expires: at + d.left_tenths };
+        let ask = Ask {
+            function: d.function,
+            work: input.work_ms * MILLI as f64,
+            expires: self.site.clock.now() + d.left_tenths,
+        };
         self.with(|machine, now, yard| {
             yard.jobs.insert(job, held);
             let refused =
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! put sockets round it and can be told to fail in stated ways ([`Faults`]). Each notes what crosses its sockets in a
 //! [`Record`], from which the rules are judged. None of this serves real work.
 
+pub mod disk;
 pub mod invoker;
 pub mod list;
 pub mod machine;
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -160,6 +160,13 @@
         took: Tenths,
         ok: bool,
     },
+    /// By the invoker, with layers: a copy was put together; `sound`: it is the model, byte for byte.
+    Copied {
+        at: Tenths,
+        invoker: u32,
+        function: u64,
+        sound: bool,
+    },
     /// By the list: a line went out to a controller.
     Told {
         at: Tenths,
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -205,6 +205,14 @@
         self.blob(digest, range).await
     }
 
+    /// Of what it holds, each blob comes damaged from now on with a chance of `part`.
+    pub fn damage(&self, part: f64) {
+        let mut rng = self.rng.borrow_mut();
+        let blobs = self.blobs.borrow();
+        let struck = blobs.keys().filter(|_| rng.f64() < part).copied().collect();
+        self.faults.borrow_mut().damaged = struck;
+    }
+
     async fn blob(self: Rc<Self>, digest: Digest, range: Option<String>) -> Response<Sending> {
         *self.requests.borrow_mut().entry(digest).or_default() += 1;
         let Some(mut bytes) = self.blobs.borrow().get(&digest).cloned() else {
