Model registry: book, chain, watchers, passages, stages, store and service

Museums ask for models by names that move, and nothing kept versions or knew which of them a passage had begun with. New package: decisions without I/O (what the book takes, a hash chain, what a watcher believes, which version an invocation runs, when a stage ends, which blobs may go, keys), a store on redb whose log is checked whole at each start, a service over JSON-RPC with group commits, a watcher with a durable copy.

--- /dev/null
+++ b/crates/registry/src/blobs.rs
@@ -0,0 +1,69 @@
+//! The folder in which the versions' manifests and chunks lie: an OCI image layout.
+
+use crate::book::Book;
+use saltdrum_layers::manifest::{EMPTY, MANIFEST_MOST_BYTES};
+use saltdrum_layers::{Digest, Manifest, cut};
+use std::collections::BTreeSet;
+use std::fs;
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+
+/// Made of a parsed digest alone: no name leads elsewhere.
+pub fn path(folder: &Path, digest: &Digest) -> PathBuf {
+    folder.join("blobs").join("sha256").join(digest.hex())
+}
+
+pub fn manifest(folder: &Path, digest: &Digest) -> Result<Manifest, String> {
+    let at = path(folder, digest);
+    let told = |why: String| format!("manifest {digest}: {why}");
+    let file = fs::File::open(at).map_err(|e| told(e.to_string()))?;
+    let mut bytes = Vec::new();
+    file.take(MANIFEST_MOST_BYTES as u64 + 1).read_to_end(&mut bytes).map_err(|e| told(e.to_string()))?;
+    if Digest::of(&bytes) != *digest {
+        return Err(told(format!("its bytes have digest {}", Digest::of(&bytes))));
+    }
+    Manifest::read(&bytes).map_err(|e| told(e.to_string()))
+}
+
+pub fn present(folder: &Path) -> io::Result<Vec<Digest>> {
+    let mut all = Vec::new();
+    for entry in fs::read_dir(folder.join("blobs").join("sha256"))? {
+        let name = entry?.file_name();
+        // What is being written has another name, and is not ours to take.
+        all.extend(format!("sha256:{}", name.to_string_lossy()).parse::<Digest>());
+    }
+    all.sort_unstable();
+    Ok(all)
+}
+
+/// All that versions need. A manifest that can't be read stops a collection: what it needs is not known.
+pub fn named(folder: &Path, book: &Book) -> Result<BTreeSet<Digest>, String> {
+    let mut all = BTreeSet::from([Digest::of(EMPTY)]);
+    for digest in book.manifests() {
+        all.insert(digest);
+        all.extend(manifest(folder, &digest)?.chunks.iter().map(|c| c.digest));
+    }
+    Ok(all)
+}
+
+/// Reads every byte that a version leads to, and tells what is wrong, each with its place.
+pub fn look(folder: &Path, book: &Book) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut seen = BTreeSet::new();
+    for ((model, name), held) in &book.versions {
+        let read = match manifest(folder, &held.version.manifest) {
+            Ok(read) => read,
+            Err(why) => {
+                wrong.push(format!("{model}@{name}: {why}"));
+                continue;
+            }
+        };
+        for chunk in read.chunks.iter().filter(|c| seen.insert(c.digest)) {
+            let looked =
+                fs::read(path(folder, &chunk.digest)).map_err(|e| format!("chunk {}: {e}", chunk.digest));
+            let looked = looked.and_then(|bytes| cut::verify(chunk, &bytes).map_err(|e| e.to_string()));
+            wrong.extend(looked.err().map(|why| format!("{model}@{name}: {why}")));
+        }
+    }
+    wrong
+}
--- /dev/null
+++ b/crates/registry/src/gc.rs
@@ -0,0 +1,77 @@
+//! Which blobs may go. A push holds a lease on what it needs before it asks what is there, so that nothing it was told to
+//! be there is collected under it; a load is outlasted by the grace.
+
+use saltdrum_layers::Digest;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub type LeaseId = u64;
+
+struct Lease {
+    until_ms: u64,
+    digests: BTreeSet<Digest>,
+}
+
+/// What is known of blobs beside the book. It ends with the process: leases then have to be taken anew, and every grace
+/// begins again.
+#[derive(Default)]
+pub struct Keeper {
+    leases: BTreeMap<LeaseId, Lease>,
+    last: LeaseId,
+    /// Seen without a reference, and since when.
+    idle: BTreeMap<Digest, u64>,
+}
+
+/// Why a push can't be ended.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Lost {
+    #[error("lease {0} is not known or has run out: begin the push again")]
+    Lease(LeaseId),
+    #[error("blob {0} is not among those the push began with")]
+    NotHeld(Digest),
+}
+
+impl Keeper {
+    /// Before a push looks at what is there.
+    pub fn begin(&mut self, now_ms: u64, digests: BTreeSet<Digest>, lasts_ms: u64) -> LeaseId {
+        self.last += 1;
+        self.idle.retain(|d, _| !digests.contains(d));
+        self.leases.insert(self.last, Lease { until_ms: now_ms + lasts_ms, digests });
+        self.last
+    }
+
+    /// Whether a push that needs these still holds them. It is asked with the version's change, in the same turn.
+    pub fn holds(&self, now_ms: u64, lease: LeaseId, needs: &[Digest]) -> Result<(), Lost> {
+        let held = self.leases.get(&lease).filter(|l| now_ms < l.until_ms).ok_or(Lost::Lease(lease))?;
+        needs.iter().find(|d| !held.digests.contains(d)).map_or(Ok(()), |d| Err(Lost::NotHeld(*d)))
+    }
+
+    pub fn end(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+    }
+
+    /// Looks at all that is there, and gives what may go: neither named by a manifest that counts nor leased for all of
+    /// the grace, which is longer than the longest load.
+    pub fn collect(
+        &mut self,
+        now_ms: u64,
+        present: impl IntoIterator<Item = Digest>,
+        named: &BTreeSet<Digest>,
+        grace_ms: u64,
+    ) -> Vec<Digest> {
+        self.leases.retain(|_, l| now_ms < l.until_ms);
+        let leased = |d: &Digest| self.leases.values().any(|l| l.digests.contains(d));
+        let present: BTreeSet<Digest> = present.into_iter().collect();
+        let free: BTreeSet<Digest> =
+            present.into_iter().filter(|d| !named.contains(d) && !leased(d)).collect();
+        self.idle.retain(|d, _| free.contains(d));
+        let mut gone = Vec::new();
+        for digest in free {
+            let since = *self.idle.entry(digest).or_insert(now_ms);
+            if now_ms >= since.saturating_add(grace_ms) {
+                self.idle.remove(&digest);
+                gone.push(digest);
+            }
+        }
+        gone
+    }
+}
--- /dev/null
+++ b/crates/registry/src/keys.rs
@@ -0,0 +1,45 @@
+//! Keys: `ID.SECRET`. What is kept tells whether one is right, and no more.
+
+use crate::book::{Book, Role};
+use crate::names::Name;
+
+/// Why a key opens nothing. It does not say which part was wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Denied {
+    #[error("this key opens nothing here")]
+    Key,
+    #[error("log in first")]
+    NoKey,
+    #[error("role {has:?} may not do this: {needs:?} is needed")]
+    Role { has: Role, needs: Role },
+}
+
+fn hash(id: &str, secret: &str) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_derive_key("saltdrum registry key, 1");
+    hasher.update(id.as_bytes()).update(b".").update(secret.as_bytes());
+    hasher.finalize()
+}
+
+/// A key's text, and what is kept of it. The secret is 256 bits of chance: there is nothing to guess a word of.
+pub fn make(id: &Name, chance: [u8; 32]) -> (String, String) {
+    let secret: String = chance.iter().map(|b| format!("{b:02x}")).collect();
+    let kept = hash(&id.to_string(), &secret).to_hex().to_string();
+    (format!("{id}.{secret}"), kept)
+}
+
+/// Who comes with this text.
+pub fn who(book: &Book, text: &str) -> Result<(Name, Role), Denied> {
+    let (id, secret) = text.rsplit_once('.').ok_or(Denied::Key)?;
+    let id: Name = id.parse().map_err(|_| Denied::Key)?;
+    let key = book.keys.get(&id).ok_or(Denied::Key)?;
+    let kept = blake3::Hash::from_hex(&key.hash).map_err(|_| Denied::Key)?;
+    // Compared in constant time, as the library's hashes are.
+    if kept == hash(&id.to_string(), secret) { Ok((id, key.role)) } else { Err(Denied::Key) }
+}
+
+/// Whether a key that once opened the door still does, and may do this.
+pub fn may(book: &Book, id: Option<&Name>, needs: Role) -> Result<Name, Denied> {
+    let id = id.ok_or(Denied::NoKey)?;
+    let key = book.keys.get(id).ok_or(Denied::Key)?;
+    if key.role >= needs { Ok(id.clone()) } else { Err(Denied::Role { has: key.role, needs }) }
+}
--- /dev/null
+++ b/crates/registry/src/stage.rs
@@ -0,0 +1,78 @@
+//! When a staged move ends: by what controllers have counted of the new version's answers and the old one's.
+
+use crate::book::Stage;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Answers so far, by one life of one controller. Throttled ones never ran and are not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tally {
+    pub new_well: u64,
+    pub new_erred: u64,
+    pub old_well: u64,
+    pub old_erred: u64,
+}
+
+/// Of one stage. Each controller tells its whole count, so that what is told twice counts once.
+#[derive(Clone, Debug, Default)]
+pub struct Tallies {
+    of: BTreeMap<(u32, u64), Tally>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    GoOn,
+    Well,
+    /// Shares of answers that erred.
+    Stop {
+        new: f64,
+        old: f64,
+    },
+}
+
+/// How sure it must be before a stage is stopped early: of the normal distribution, about one in a thousand by chance.
+const SURE: f64 = 3.0;
+/// Fewer erring answers prove nothing.
+const ERRED_LEAST: u64 = 5;
+
+impl Tallies {
+    /// Counts only grow: a message that was overtaken by a later one changes nothing.
+    pub fn tell(&mut self, controller: u32, incarnation: u64, tally: Tally) {
+        let known = self.of.entry((controller, incarnation)).or_default();
+        let most = |a: u64, b: u64| a.max(b);
+        *known = Tally {
+            new_well: most(known.new_well, tally.new_well),
+            new_erred: most(known.new_erred, tally.new_erred),
+            old_well: most(known.old_well, tally.old_well),
+            old_erred: most(known.old_erred, tally.old_erred),
+        };
+    }
+
+    pub fn sum(&self) -> Tally {
+        self.of.values().fold(Tally::default(), |s, t| Tally {
+            new_well: s.new_well.saturating_add(t.new_well),
+            new_erred: s.new_erred.saturating_add(t.new_erred),
+            old_well: s.old_well.saturating_add(t.old_well),
+            old_erred: s.old_erred.saturating_add(t.old_erred),
+        })
+    }
+
+    pub fn judge(&self, stage: &Stage) -> Verdict {
+        let sum = self.sum();
+        let share = |erred: u64, well: u64| erred as f64 / (erred.saturating_add(well)).max(1) as f64;
+        let answers = sum.new_well.saturating_add(sum.new_erred);
+        let (new, old) = (share(sum.new_erred, sum.new_well), share(sum.old_erred, sum.old_well));
+        let bound = old + f64::from(stage.errors_per_mille) / 1_000.0;
+        let spread =
+            (bound.clamp(0.001, 0.999) * (1.0 - bound.clamp(0.001, 0.999)) / answers.max(1) as f64).sqrt();
+        // Before the answers waited for are in, only what chance would not do stops it; then the count as it is.
+        let early = sum.new_erred >= ERRED_LEAST && new > bound + SURE * spread;
+        match answers >= stage.answers {
+            _ if early => Verdict::Stop { new, old },
+            true if new > bound => Verdict::Stop { new, old },
+            true => Verdict::Well,
+            false => Verdict::GoOn,
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/store.rs
@@ -0,0 +1,314 @@
+//! The history on disk. The log is the truth: each start reads it whole and checks its chain, and what is not in it was
+//! never acknowledged.
+
+use crate::book::{Change, Refusal, Revision};
+use crate::chain::{Broken, Entry, Hash, Head};
+use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const ABOUT: TableDefinition<&str, u64> = TableDefinition::new("about");
+/// Of what is written here. A later one is not touched.
+pub const SCHEMA: u64 = 1;
+/// An entry is no longer: a change is bounded by what its names and digests are.
+const ENTRY_MOST_BYTES: usize = 64 << 10;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{place}: {why}")]
+    Disk { place: String, why: String },
+    #[error("{place}: schema {found}: this program knows up to {SCHEMA}")]
+    Later { place: String, found: u64 },
+    #[error("{place}: revision {revision}: {why}")]
+    Damaged { place: String, revision: Revision, why: String },
+    #[error("{place}: line {line}: {why}")]
+    Line { place: String, line: usize, why: String },
+    #[error("{0}")]
+    Refused(#[from] Refusal),
+    #[error("{place}: there is a registry already")]
+    Occupied { place: String },
+}
+
+/// Makes the database, at each start and after each failure.
+pub type Opens = Box<dyn Fn() -> Result<Database, redb::DatabaseError>>;
+
+/// A change somebody waits for.
+pub struct Asked {
+    pub who: String,
+    pub at_ms: u64,
+    pub change: Change,
+}
+
+pub struct Store {
+    place: String,
+    opens: Opens,
+    /// None: a write failed, and what the disk has is not known until it is read again.
+    database: Option<Database>,
+    head: Head,
+    /// Hash after each revision.
+    hashes: BTreeMap<Revision, Hash>,
+    last_restored: Option<Entry>,
+}
+
+struct Read {
+    head: Head,
+    hashes: BTreeMap<Revision, Hash>,
+    last_restored: Option<Entry>,
+}
+
+impl Store {
+    pub fn open_file(path: &Path) -> Result<Self, Fault> {
+        let at = path.to_owned();
+        let opens = move || Database::builder().set_cache_size(16 << 20).create(&at);
+        Self::open(path.display().to_string(), Box::new(opens))
+    }
+
+    pub fn open(place: String, opens: Opens) -> Result<Self, Fault> {
+        let mut store = Self {
+            place,
+            opens,
+            database: None,
+            head: Head::default(),
+            hashes: BTreeMap::new(),
+            last_restored: None,
+        };
+        store.come_back()?;
+        Ok(store)
+    }
+
+    fn disk(&self, why: impl ToString) -> Fault {
+        Fault::Disk { place: self.place.clone(), why: why.to_string() }
+    }
+
+    /// Reads all that the disk has, and goes on from there.
+    fn come_back(&mut self) -> Result<(), Fault> {
+        self.database = None;
+        let database = (self.opens)().map_err(|e| self.disk(e))?;
+        let read = self.read(&database)?;
+        // What was acknowledged stands; a disk that has less has lost it, and nothing is to be built upon that.
+        let mine = self.head.revision();
+        if mine > 0 && read.hashes.get(&mine) != Some(&self.head.hash) {
+            return Err(self.disk(format!("revision {mine} was acknowledged and is not there any more")));
+        }
+        (self.head, self.hashes, self.last_restored) = (read.head, read.hashes, read.last_restored);
+        self.database = Some(database);
+        Ok(())
+    }
+
+    fn read(&self, database: &Database) -> Result<Read, Fault> {
+        let txn = database.begin_write().map_err(|e| self.disk(e))?;
+        {
+            let mut about = txn.open_table(ABOUT).map_err(|e| self.disk(e))?;
+            let found = about.get("schema").map_err(|e| self.disk(e))?.map(|v| v.value());
+            match found {
+                None => drop(about.insert("schema", SCHEMA).map_err(|e| self.disk(e))?),
+                Some(found) if found > SCHEMA => {
+                    return Err(Fault::Later { place: self.place.clone(), found });
+                }
+                Some(_) => {}
+            }
+            txn.open_table(LOG).map_err(|e| self.disk(e))?;
+        }
+        txn.commit().map_err(|e| self.disk(e))?;
+        let txn = database.begin_read().map_err(|e| self.disk(e))?;
+        let log = txn.open_table(LOG).map_err(|e| self.disk(e))?;
+        let mut read = Read { head: Head::default(), hashes: BTreeMap::new(), last_restored: None };
+        for line in log.iter().map_err(|e| self.disk(e))? {
+            let (revision, bytes) = line.map_err(|e| self.disk(e))?;
+            let damaged =
+                |why: String| Fault::Damaged { place: self.place.clone(), revision: revision.value(), why };
+            let entry: Entry = serde_json::from_slice(bytes.value()).map_err(|e| damaged(e.to_string()))?;
+            if entry.revision != revision.value() {
+                return Err(damaged(format!("the entry there says revision {}", entry.revision)));
+            }
+            read.head = read.head.follow(&entry).map_err(|e: Broken| damaged(e.to_string()))?;
+            read.hashes.insert(entry.revision, read.head.hash.clone());
+            if matches!(entry.change, Change::Restored { .. }) {
+                read.last_restored = Some(entry);
+            }
+        }
+        Ok(read)
+    }
+
+    /// As it was last acknowledged; it stands while the disk does not.
+    pub fn head(&self) -> &Head {
+        &self.head
+    }
+
+    pub fn hash_at(&self, revision: Revision) -> Option<Hash> {
+        self.hashes.get(&revision).cloned()
+    }
+
+    pub fn last_restored(&self) -> Option<Entry> {
+        self.last_restored.clone()
+    }
+
+    /// Whether the last write went well.
+    pub fn writable(&self) -> bool {
+        self.database.is_some()
+    }
+
+    /// Takes changes that came together, with one write for all. Each is told apart: refused, or on disk when this
+    /// returns. After a failed write nothing of it is acknowledged, and the next call reads the disk anew.
+    pub fn take(&mut self, all: Vec<Asked>) -> Result<Vec<Result<Entry, Refusal>>, Fault> {
+        if self.database.is_none() {
+            self.come_back()?;
+        }
+        let (mut head, mut told, mut taken) = (self.head.clone(), Vec::new(), Vec::new());
+        for asked in all {
+            match head.decide(&asked.who, asked.at_ms, asked.change) {
+                Ok((entry, next)) => {
+                    if entry.bytes().len() > ENTRY_MOST_BYTES {
+                        let why = format!("over {ENTRY_MOST_BYTES} bytes");
+                        told.push(Err(Refusal::Value { place: "change", why }));
+                        continue;
+                    }
+                    head = next;
+                    taken.push((entry.clone(), head.hash.clone()));
+                    told.push(Ok(entry));
+                }
+                Err(refusal) => told.push(Err(refusal)),
+            }
+        }
+        if taken.is_empty() {
+            return Ok(told);
+        }
+        if let Err(why) = self.write(taken.iter().map(|t| &t.0)) {
+            self.database = None;
+            return Err(self.disk(why));
+        }
+        for (entry, hash) in taken {
+            self.hashes.insert(entry.revision, hash);
+            if matches!(entry.change, Change::Restored { .. }) {
+                self.last_restored = Some(entry);
+            }
+        }
+        self.head = head;
+        Ok(told)
+    }
+
+    fn write<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> Result<(), redb::Error> {
+        let Some(database) = &self.database else { return Ok(()) };
+        // The default durability: on disk before commit returns.
+        let txn = database.begin_write()?;
+        {
+            let mut log = txn.open_table(LOG)?;
+            for entry in entries {
+                log.insert(entry.revision, entry.bytes().as_slice())?;
+            }
+        }
+        txn.commit()?;
+        Ok(())
+    }
+
+    /// Entries after a revision, so many at the most, oldest first.
+    pub fn after(&self, revision: Revision, most: usize) -> Result<Vec<Entry>, Fault> {
+        let Some(database) = &self.database else {
+            return Err(self.disk("a write failed; it is not read before the next"));
+        };
+        let txn = database.begin_read().map_err(|e| self.disk(e))?;
+        let log = txn.open_table(LOG).map_err(|e| self.disk(e))?;
+        let mut all = Vec::new();
+        for line in log.range(revision + 1..).map_err(|e| self.disk(e))?.take(most) {
+            let (at, bytes) = line.map_err(|e| self.disk(e))?;
+            let entry = serde_json::from_slice(bytes.value());
+            let damaged = |e: serde_json::Error| Fault::Damaged {
+                place: self.place.clone(),
+                revision: at.value(),
+                why: e.to_string(),
+            };
+            all.push(entry.map_err(damaged)?);
+        }
+        Ok(all)
+    }
+
+    /// Reads all that is on disk as a start would, and compares it with what is told to others. Tells how many entries.
+    pub fn verify(&self) -> Result<u64, Fault> {
+        let Some(database) = &self.database else {
+            return Err(self.disk("a write failed; it is not read before the next"));
+        };
+        let read = self.read(database)?;
+        if read.head != self.head {
+            let why = "the disk has another book than the one that is told".into();
+            return Err(Fault::Damaged { place: self.place.clone(), revision: self.head.revision(), why });
+        }
+        let count = || -> Result<u64, redb::Error> { Ok(database.begin_read()?.open_table(LOG)?.len()?) };
+        count().map_err(|e| self.disk(e))
+    }
+
+    /// Writes the whole history to a file of lines: whole or not at all.
+    pub fn back_up(&self, to: &Path) -> Result<u64, Fault> {
+        let entries = self.after(0, usize::MAX)?;
+        let fault = |e: std::io::Error| Fault::Disk { place: to.display().to_string(), why: e.to_string() };
+        let beside: PathBuf = to.with_extension("half");
+        let write = || -> std::io::Result<()> {
+            let mut file = BufWriter::new(File::create(&beside)?);
+            for entry in &entries {
+                file.write_all(&entry.bytes())?;
+                file.write_all(b"\n")?;
+            }
+            // A backup cut short at an entry's end would look whole.
+            writeln!(file, "end {} {}", entries.len(), self.head.hash)?;
+            file.into_inner().map_err(|e| e.into_error())?.sync_all()?;
+            fs::rename(&beside, to)
+        };
+        write().map_err(fault)?;
+        Ok(entries.len() as u64)
+    }
+}
+
+/// Reads a backup whole, and checks its chain.
+pub fn read_backup(from: &Path) -> Result<(Vec<Entry>, Head), Fault> {
+    let place = from.display().to_string();
+    let file = File::open(from).map_err(|e| Fault::Disk { place: place.clone(), why: e.to_string() })?;
+    let (mut entries, mut head) = (Vec::new(), Head::default());
+    let mut ended = false;
+    for (n, line) in BufReader::new(file).lines().enumerate() {
+        let fault = |why: String| Fault::Line { place: place.clone(), line: n + 1, why };
+        let line = line.map_err(|e| fault(e.to_string()))?;
+        if ended {
+            return Err(fault("something after the end".into()));
+        }
+        if let Some(end) = line.strip_prefix("end ") {
+            let expected = format!("{} {}", entries.len(), head.hash);
+            if end != expected {
+                return Err(fault(format!("end {end}: end {expected} is expected")));
+            }
+            ended = true;
+            continue;
+        }
+        let entry: Entry = serde_json::from_str(&line).map_err(|e| fault(e.to_string()))?;
+        head = head.follow(&entry).map_err(|e| fault(e.to_string()))?;
+        entries.push(entry);
+    }
+    if !ended {
+        return Err(Fault::Line {
+            place,
+            line: entries.len() + 1,
+            why: "the end is missing: it was cut short".into(),
+        });
+    }
+    Ok((entries, head))
+}
+
+/// Makes a registry of a backup, in a place where there is none, and goes over revisions that may have been given out
+/// since: watchers that obeyed up to `over` come along.
+pub fn restore(from: &Path, to: &Path, over: Revision, who: &str, at_ms: u64) -> Result<Head, Fault> {
+    let (entries, head) = read_backup(from)?;
+    if to.exists() {
+        return Err(Fault::Occupied { place: to.display().to_string() });
+    }
+    // What could not be taken is found before anything is made.
+    let (last, after) = head.decide(who, at_ms, Change::Restored { over })?;
+    let beside = to.with_extension("half");
+    let _ = fs::remove_file(&beside);
+    let disk = |e: &dyn ToString| Fault::Disk { place: beside.display().to_string(), why: e.to_string() };
+    let mut store = Store::open_file(&beside)?;
+    store.write(entries.iter().chain([&last])).map_err(|e| disk(&e))?;
+    store.database = None;
+    fs::rename(&beside, to).map_err(|e| disk(&e))?;
+    Ok(after)
+}
--- /dev/null
+++ b/crates/registry/tests/all/support/mod.rs
@@ -0,0 +1,36 @@
+pub mod disk;
+
+use saltdrum_layers::Digest;
+use saltdrum_registry::book::{Change, Stage, Version};
+use saltdrum_registry::store::Asked;
+use saltdrum_registry::{Name, Namespace, Revision};
+
+pub fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+pub fn version(seed: u64) -> Version {
+    Version {
+        manifest: Digest::of(&seed.to_le_bytes()),
+        bytes: 1_000,
+        memory_mb: 2_400,
+        lanes: 6,
+        trigger_types: vec!["narrate".into()],
+    }
+}
+
+pub fn push(n: u64) -> Change {
+    Change::Push { model: name("kinyarwanda"), name: name(&format!("v{n}")), version: version(n) }
+}
+
+pub fn moves(to: u64, expect: Revision, stage: Option<u16>) -> Change {
+    let version = name(&format!("v{to}"));
+    let stage =
+        stage.map(|per_mille| Stage { to: version.clone(), per_mille, errors_per_mille: 50, answers: 100 });
+    let (alias, model) = (name("kinyarwanda-current"), name("kinyarwanda"));
+    Change::Move { space: Namespace::All, alias, model, version, expect, stage }
+}
+
+pub fn asked(change: Change) -> Asked {
+    Asked { who: "tests".into(), at_ms: 1_000, change }
+}
