Controllers and invokers follow the registry; passages hold over moves, deaths and cuts

Names had to become versions before the decisions see an invocation, on controllers that share nothing. The controller fixes a version when a passage begins and tells it in the answer; what the client hands back is used or refused. Invokers learn versions as they are asked for and fetch a stage's chunks ahead.

--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -70,7 +70,16 @@
         threads.push(std::thread::spawn(move || {
             on_this_thread(async {
                 let (zone, terms) = (zone as u8, Rc::new(terms));
-                let seat = Seat { controller, incarnation, seed, zone, clients: vec![clients], list, terms };
+                let seat = Seat {
+                    controller,
+                    incarnation,
+                    seed,
+                    zone,
+                    clients: vec![clients],
+                    list,
+                    terms,
+                    names: None,
+                };
                 tokio::select! {
                     biased;
                     done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start(), make) => {
@@ -108,6 +117,7 @@
             tokens: Default::default(),
             seed: fastrand::u64(..),
             fetch_share: 0.6,
+            versions: None,
             layers: None,
         };
         let invoker = Invoker::new(site);
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,12 +1,14 @@
 use crate::clients::Reply;
 use crate::decides::{Decides, Make};
 use crate::links::Link;
+use crate::names::{Names, NamesAt};
 use crate::redial::Dials;
-use crate::{clients, links, list};
+use crate::{clients, links, list, names};
 use saltdrum::port::*;
 use saltdrum_deployment::Terms;
 use saltdrum_link::{Address, Clock, Network, Turns, turning};
 use saltdrum_protocol::{invoker as wire, rpc};
+use saltdrum_registry::passage::{Fixed, Said, Unfixed};
 use serde_json::json;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -32,6 +34,8 @@
     pub clients: Vec<Address>,
     pub list: Address,
     pub terms: Rc<Terms>,
+    /// Where names that are not in the terms are looked up; none: there are no others.
+    pub names: Option<NamesAt>,
 }
 
 /// One controller: its state, and what it is handed to live on.
@@ -77,6 +81,7 @@
     pub rng: fastrand::Rng,
     pub counts: Counts,
     pub list_revision: Option<u64>,
+    pub names: Option<Names>,
     timers: BTreeMap<(Tenths, u64), Due>,
     timer: u64,
     /// What is owed to the module once it has returned.
@@ -88,6 +93,8 @@
 pub(crate) struct Inv {
     call: rpc::Invoke,
     function: FnId,
+    /// Of a version of the registry.
+    runs: Option<Runs>,
     expires: Tenths,
     /// When the client stops waiting: nothing is sent from then on.
     gone: Tenths,
@@ -105,6 +112,12 @@
     span: Span,
 }
 
+/// A version, as invokers know it, and its passage.
+struct Runs {
+    name: String,
+    fixed: Fixed,
+}
+
 /// A final answer on its way to the client.
 enum Final<'a> {
     Succeeded(&'a str),
@@ -166,6 +179,7 @@
             "links": d.links.len(), "links_up": d.links.values().filter(|l| l.is_up()).count(),
             "taken": c.taken, "succeeded": c.succeeded, "throttled": c.throttled, "errored": c.errored,
             "left": c.left, "stale": c.stale, "too_late": c.too_late, "dispatches": c.dispatches,
+            "names": d.names.as_ref().map(|n| n.told(self.clock.now())),
             "orders": c.orders, "broken_links": c.broken_links, "stood_still": c.stood_still,
         })
         .to_string()
@@ -190,6 +204,18 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(reply) = inv.reply.take() else { return };
         let _in = inv.span.enter();
+        // What was throttled never ran, and says nothing of the version.
+        let staged = inv.runs.as_ref().and_then(|r| r.fixed.staged.as_ref());
+        if let (Some(names), Some(staged)) = (&mut self.names, staged) {
+            match &how {
+                Final::Succeeded(_) => names.count(staged, true),
+                Final::Errored(_) => names.count(staged, false),
+                Final::Throttled(_) => {}
+            }
+        }
+        let of_passage = inv.runs.as_ref().map_or_else(String::new, |r| {
+            format!(r#","version":"{}","passage_until_ms":{}"#, r.name, r.fixed.until_ms)
+        });
         let counts = &mut self.counts;
         if self.now >= inv.gone {
             counts.too_late += 1;
@@ -200,19 +226,20 @@
             Final::Succeeded(output) => {
                 counts.succeeded += 1;
                 debug!(outcome = "succeeded");
-                let result = format!(r#"{{"output":{output},"dispatches":{}}}"#, inv.hops);
+                let result = format!(r#"{{"output":{output},"dispatches":{}{of_passage}}}"#, inv.hops);
                 reply.result(id, &result, inv.gone);
             }
             Final::Throttled(wait) => {
                 counts.throttled += 1;
                 debug!(outcome = "throttled", wait_ms = wait / MILLI);
-                let data = format!(r#"{{"come_back_ms":{},"dispatches":{}}}"#, wait / MILLI, inv.hops);
+                let data =
+                    format!(r#"{{"come_back_ms":{},"dispatches":{}{of_passage}}}"#, wait / MILLI, inv.hops);
                 reply.error(id, rpc::THROTTLED, "throttled", Some(&data), inv.gone);
             }
             Final::Errored(why) => {
                 counts.errored += 1;
                 debug!(outcome = "errored", why);
-                let data = format!(r#"{{"dispatches":{}}}"#, inv.hops);
+                let data = format!(r#"{{"dispatches":{}{of_passage}}}"#, inv.hops);
                 reply.error(id, rpc::ERRORED, why, Some(&data), inv.gone);
             }
         }
@@ -240,11 +267,34 @@
         let bad = |what: &str, name: &str| format!("{what} '{name}': not one of this deployment");
         let trigger = terms.trigger_names.iter().position(|n| *n == call.trigger);
         let tenant = terms.tenant_names.iter().position(|n| *n == call.tenant);
-        let (function, trigger, tenant) = match (terms.functions.get(&call.function), trigger, tenant) {
-            (Some(f), Some(trigger), Some(tenant)) => (f, trigger, tenant),
-            (None, ..) => return reply.refuse(rpc::INVALID_PARAMS, &bad("function", &call.function)),
-            (_, None, _) => return reply.refuse(rpc::INVALID_PARAMS, &bad("trigger", &call.trigger)),
-            _ => return reply.refuse(rpc::INVALID_PARAMS, &bad("tenant", &call.tenant)),
+        let (Some(trigger), Some(tenant)) = (trigger, tenant) else {
+            let what =
+                if trigger.is_none() { bad("trigger", &call.trigger) } else { bad("tenant", &call.tenant) };
+            return reply.refuse(rpc::INVALID_PARAMS, &what);
+        };
+        let (function, memory, lanes, load_hint, runs) = match terms.functions.get(&call.function) {
+            Some(f) => (f.id, f.memory, f.lanes, f.load, None),
+            None => {
+                let Some(names) = &mut desk.names else {
+                    return reply.refuse(rpc::INVALID_PARAMS, &bad("function", &call.function));
+                };
+                let said = Said {
+                    passage: call.passage.as_deref(),
+                    version: call.version.as_deref(),
+                    until_ms: call.passage_until_ms,
+                };
+                match names.fix(desk.now, &call.tenant, &call.trigger, &call.function, &said) {
+                    Ok(runs) => {
+                        desk.functions.entry(runs.function).or_insert_with(|| runs.name.clone());
+                        let kept = Runs { name: runs.name, fixed: runs.fixed };
+                        (runs.function, runs.memory, runs.lanes, None, Some(kept))
+                    }
+                    Err(why @ (Unfixed::Withdrawn(_) | Unfixed::Over(_))) => {
+                        return reply.refuse(rpc::PASSAGE_OVER, &why.to_string());
+                    }
+                    Err(why) => return reply.refuse(rpc::INVALID_PARAMS, &why.to_string()),
+                }
+            }
         };
         let stated = &terms.deployment.trigger_types[trigger];
         let left = match time_left(&call, stated.client_timeout) {
@@ -271,17 +321,16 @@
             id,
             trigger,
             tenant,
-            function: function.id,
+            function,
             expires,
             work_hint: call.work_hint_ms.filter(|ms| *ms > 0.0).map(|ms| (ms * MILLI as f64) as Tenths),
-            memory: function.memory,
-            lanes: function.lanes,
-            load_hint: function.load,
+            memory,
+            lanes,
+            load_hint,
         };
         let span = info_span!("invocation", id, function = call.function, tenant = call.tenant);
-        let function = function.id;
         let out = BTreeMap::new();
-        let inv = Inv { call, function, expires, gone, reply: Some(reply), hops: 0, out, span };
+        let inv = Inv { call, function, runs, expires, gone, reply: Some(reply), hops: 0, out, span };
         desk.invs.insert(id, inv);
         self.module.invoked(self.desk.now, invocation, &mut self.desk);
         self.desk.forget_ended(id);
@@ -378,7 +427,7 @@
             invocation: id,
             hop,
             function: inv.function,
-            name: &inv.call.function,
+            name: inv.runs.as_ref().map_or(&inv.call.function, |r| &r.name),
             tenant: &inv.call.tenant,
             trigger: &inv.call.trigger,
             left_tenths: inv.gone - self.now.min(inv.gone),
@@ -489,6 +538,7 @@
         rng: fastrand::Rng::with_seed(seat.seed ^ 0x5eed),
         counts: Counts::default(),
         list_revision: None,
+        names: seat.names.as_ref().map(Names::new),
         timers: BTreeMap::new(),
         timer: 0,
         after: VecDeque::new(),
@@ -514,6 +564,9 @@
         stood.tell(|state| state.desk.counts.stood_still += 1);
     }));
     tokio::task::spawn_local(list::follow(front.clone()));
+    if let Some(at) = front.seat.names.clone() {
+        tokio::task::spawn_local(names::keep(front.clone(), at));
+    }
     for (door, address) in doors {
         info!(controller = front.seat.controller, %address, "listening");
         tokio::task::spawn_local(clients::receive(front.clone(), door));
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each thing that happens on a socket is one call on `saltdrum::Controller`; each of its acts writes to a socket or
 //! sets a timer. Start reading at `front`: an invocation's way is `Desk::invoke` → the module → `Acts for Desk` →
-//! `State::ended` → `Desk::answer`. `clients`, `links` and `list` are the three kinds of socket, `redial` decides when
+//! `State::ended` → `Desk::answer`. `clients`, `links` and `list` are the three kinds of socket, `names` follows the registry and fixes versions, `redial` decides when
 //! a lost link is tried again. Nothing here chooses an invoker, repeats, holds back or turns away.
 //!
 //! One thread, one `LocalSet`, no locks. Streams, clock and seed are handed in.
@@ -12,8 +12,10 @@
 mod front;
 mod links;
 mod list;
+mod names;
 mod redial;
 
 pub use decides::{Decides, Make, at_random, by_design, fewest_out, rendezvous};
 pub use front::{Seat, serve};
+pub use names::NamesAt;
 pub use redial::{Dials, Redial};
--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -175,6 +175,7 @@
             clients: vec![at("clients")],
             list: at("list"),
             terms: Rc::new(Terms::load("terms.star", TERMS).unwrap().0),
+            names: None,
         };
         let handed: Rc<dyn Network> = Rc::new(network.clone());
         spawn_local(async move { serve(seat, handed, clock, make).await.unwrap() });
--- a/crates/day/src/clients.rs
+++ b/crates/day/src/clients.rs
@@ -19,10 +19,29 @@
 /// The answer, or none when the connection broke first.
 type Waiting = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Told>>>>;
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Told {
     how: How,
     come_back: Tenths,
+    /// What the passage goes on with.
+    holds: Option<Holds>,
+    /// The passage can't go on.
+    over: bool,
+}
+
+/// A version and its end, to be handed back.
+#[derive(Clone)]
+struct Holds {
+    version: String,
+    until_ms: u64,
+}
+
+/// What a client knows of its passage.
+#[derive(Default)]
+struct Passage {
+    name: String,
+    holds: Option<Holds>,
+    over: bool,
 }
 
 /// A connection to one controller's life.
@@ -46,6 +65,9 @@
     next: Cell<usize>,
 }
 
+/// Between the invocations of a passage.
+const PAUSE: Duration = Duration::from_millis(150);
+
 fn id_of(of: Try) -> u64 {
     of.n * 16 + u64::from(of.attempt)
 }
@@ -74,8 +96,24 @@
         None
     }
 
-    /// One invocation with all its tries.
+    /// One invocation with all its tries; where there are versions, a passage of some, one after another.
     pub async fn invoke(self: Rc<Self>, n: u64, a: Arrival) {
+        if self.day.versions == 0 {
+            return self.invoke_once(n, &a, None).await;
+        }
+        let mut passage = Passage { name: format!("{n}"), ..Default::default() };
+        for part in 0..u64::from(self.day.passage) {
+            if part > 0 {
+                tokio::time::sleep(PAUSE).await;
+            }
+            self.invoke_once(n * 1_000 + part, &a, Some(&mut passage)).await;
+            if passage.over {
+                return;
+            }
+        }
+    }
+
+    async fn invoke_once(self: &Rc<Self>, n: u64, a: &Arrival, mut passage: Option<&mut Passage>) {
         let terms = &self.day.terms;
         let function = &terms.functions[&a.function];
         let stated = &terms.deployment.trigger_types[function.trigger];
@@ -84,14 +122,31 @@
         for attempt in 0.. {
             let of = Try { n, attempt };
             let mut rng = fastrand::Rng::with_seed(self.day.seed ^ id_of(of));
-            let end = match self.one_try(of, &a, stated.client_timeout).await {
+            let end = match self.one_try(of, a, stated.client_timeout, passage.as_deref()).await {
                 Err(()) => End::Unsent,
-                Ok(None) => End::Unknown,
-                Ok(Some(told)) => match told.how {
-                    How::Succeeded => End::Succeeded,
-                    How::Throttled => End::Throttled(told.come_back),
-                    How::Errored => End::Errored,
-                },
+                Ok(None) => {
+                    // Nothing was heard, and what may have spoken is not known: that passage is over before it began.
+                    if let Some(p) = passage.as_deref_mut().filter(|p| p.holds.is_none()) {
+                        p.name += "'";
+                    }
+                    End::Unknown
+                }
+                Ok(Some(told)) => {
+                    if let Some(p) = passage.as_deref_mut() {
+                        p.over |= told.over;
+                        if self.day.hands_back {
+                            p.holds = told.holds.or(p.holds.take());
+                        }
+                        if p.over {
+                            return;
+                        }
+                    }
+                    match told.how {
+                        How::Succeeded => End::Succeeded,
+                        How::Throttled => End::Throttled(told.come_back),
+                        How::Errored => End::Errored,
+                    }
+                }
             };
             match patience.then(stated, attempt, self.clock.now() - first, end, rng.f64()) {
                 Then::Over => return,
@@ -101,7 +156,13 @@
     }
 
     /// Err: nothing was sent. None: sent, and not answered.
-    async fn one_try(self: &Rc<Self>, of: Try, a: &Arrival, timeout: Tenths) -> Result<Option<Told>, ()> {
+    async fn one_try(
+        self: &Rc<Self>,
+        of: Try,
+        a: &Arrival,
+        timeout: Tenths,
+        passage: Option<&Passage>,
+    ) -> Result<Option<Told>, ()> {
         let (who, address) = self.next_front().ok_or(())?;
         let alone = a.hangs_up.is_some() || a.reads_late.is_some();
         let line = if alone {
@@ -129,6 +190,15 @@
             "params": {"function": a.function, "tenant": tenant, "trigger": trigger, "input": input,
                 "time_left_ms": timeout as f64 / MILLI as f64},
         });
+        if let Some(p) = passage {
+            call["params"]["function"] = format!("{}-current", a.function).into();
+            call["params"]["input"]["passage"] = p.name.clone().into();
+            call["params"]["passage"] = p.name.clone().into();
+            if let Some(holds) = &p.holds {
+                call["params"]["version"] = holds.version.clone().into();
+                call["params"]["passage_until_ms"] = holds.until_ms.into();
+            }
+        }
         if let Some(token) = token {
             call["params"]["token"] = token.into();
         }
@@ -226,11 +296,21 @@
             Some(_) => How::Errored,
         };
         let come_back = reply.error.as_ref().and_then(|e| e.data.get("come_back_ms")?.as_u64());
+        let told = match (&reply.error, reply.result) {
+            (Some(e), _) => e.data.clone(),
+            (None, Some(result)) => serde_json::from_str(result.get()).unwrap_or_default(),
+            _ => serde_json::Value::Null,
+        };
+        let holds = || {
+            let version = told.get("version")?.as_str()?.to_owned();
+            Some(Holds { version, until_ms: told.get("passage_until_ms")?.as_u64()? })
+        };
+        let over = reply.error.as_ref().is_some_and(|e| e.code == rpc::PASSAGE_OVER);
         let come_back = come_back.unwrap_or(0) * MILLI;
         let of = Try { n: id / 16, attempt: (id % 16) as u32 };
         self.record.note(Line::Final { at: self.clock.now(), earliest, of, how });
         if let Some(to) = waiting.borrow_mut().remove(&id) {
-            let _ = to.send(Told { how, come_back });
+            let _ = to.send(Told { how, come_back, holds: holds(), over });
         }
     }
 
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 mod clients;
+pub mod passages;
 pub mod script;
 mod stage;
 pub mod summary;
@@ -23,5 +24,6 @@
     ("misses-burn-tries", include_str!("../days/misses-burn-tries.star")),
     ("layers-day", include_str!("../days/layers-day.star")),
     ("bad-network", include_str!("../days/bad-network.star")),
+    ("models-day", include_str!("../days/models-day.star")),
     ("answers-lost", include_str!("../days/answers-lost.star")),
 ];
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -4,6 +4,7 @@
 use saltdrum_deployment::units::{Memory, Span};
 use saltdrum_deployment::{Fault, Statement, Terms, script};
 use saltdrum_load::Shape;
+use saltdrum_registry::Name;
 use serde::Deserialize;
 
 /// How models reach invokers.
@@ -34,6 +35,16 @@
     pub layers: Layers,
     /// Of a model that stands for each function's, which would be thousands of times larger.
     pub model_bytes: usize,
+    /// Each function is a model of the registry with so many versions, called by an alias; 0: no registry.
+    pub versions: u32,
+    /// Aliases move to the next version so often; 0: never.
+    pub moves: Tenths,
+    /// Each move is tried on a share of passages first.
+    pub staged: bool,
+    /// Invocations of a passage.
+    pub passage: u32,
+    /// Whether clients hand versions back; without it, passages mix.
+    pub hands_back: bool,
     pub network: Network,
     pub traffic: Vec<Traffic>,
     pub troubles: Vec<Trouble>,
@@ -101,6 +112,9 @@
     LineSlow,
     PowerCut,
     StoreDamages,
+    RegistryLost,
+    RegistryCut,
+    Withdrawn,
 }
 
 const KINDS: &[(&str, Kind)] = &[
@@ -132,6 +146,9 @@
     ("line_slow", Kind::LineSlow),
     ("power_cut", Kind::PowerCut),
     ("store_damages", Kind::StoreDamages),
+    ("registry_lost", Kind::RegistryLost),
+    ("registry_cut", Kind::RegistryCut),
+    ("withdrawn", Kind::Withdrawn),
 ];
 
 #[derive(Clone, Debug)]
@@ -179,6 +196,23 @@
     layers: String,
     #[serde(default = "model")]
     model: Memory,
+    #[serde(default)]
+    versions: u32,
+    #[serde(default)]
+    moves: Span,
+    #[serde(default)]
+    staged: bool,
+    #[serde(default = "three")]
+    passage: u32,
+    #[serde(default = "yes")]
+    hands_back: bool,
+}
+
+fn three() -> u32 {
+    3
+}
+fn yes() -> bool {
+    true
 }
 
 fn off() -> String {
@@ -328,7 +362,21 @@
         if !(0.1..=64.0).contains(&said.model.0) {
             return Err(stated.fault("model: 0.1MB to 64MB are expected"));
         }
+        if said.versions > 100 || !(1..=1_000).contains(&said.passage) {
+            return Err(stated.fault("versions: up to 100, passage: 1 to 1000 are expected"));
+        }
+        if said.versions < 2 && said.moves.0 > 0 {
+            return Err(stated.fault("moves: at least two versions are expected"));
+        }
+        if let Some(odd) = terms.functions.keys().find(|f| said.versions > 0 && f.parse::<Name>().is_err()) {
+            return Err(stated.fault(format!("versions: function '{odd}' can't be the name of a model")));
+        }
         let mut day = Self {
+            versions: said.versions,
+            moves: said.moves.0,
+            staged: said.staged,
+            passage: said.passage,
+            hands_back: said.hands_back,
             layers,
             model_bytes: (said.model.0 * 1e6) as usize,
             network: Network::default(),
@@ -404,8 +452,13 @@
             s.fault(format!("'{}' is no trouble; known are {}", said.name, all.join(", ")))
         })?;
         known(s, &self.terms, &said.functions)?;
+        if self.versions == 0 && matches!(kind, Kind::RegistryLost | Kind::RegistryCut | Kind::Withdrawn) {
+            return Err(s.fault(format!("{name}: versions are expected in day(...)")));
+        }
         let need = |what: &str| s.fault(format!("{name}: {what} is expected"));
-        if !matches!(kind, Kind::Flush | Kind::BadInput | Kind::Deploy) && said.lasts.is_none() {
+        if !matches!(kind, Kind::Flush | Kind::BadInput | Kind::Deploy | Kind::Withdrawn)
+            && said.lasts.is_none()
+        {
             return Err(need("lasts"));
         }
         // Those that strike all where none are named would end the day.
@@ -421,7 +474,11 @@
         );
         let strikes_controllers = matches!(
             kind,
-            Kind::ControllerCrash | Kind::ControllerRoll | Kind::ControllerStall | Kind::LineCut
+            Kind::ControllerCrash
+                | Kind::ControllerRoll
+                | Kind::ControllerStall
+                | Kind::LineCut
+                | Kind::RegistryCut
         );
         if strikes_invokers && said.invokers.is_none() {
             return Err(need("invokers = [...]"));
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -6,12 +6,18 @@
 use crate::traffic;
 use saltdrum::port::{Effect, SECOND, Scope, Tenths};
 use saltdrum_agent::{Counts, Peer};
-use saltdrum_controller::{Seat, by_design};
+use saltdrum_controller::{NamesAt, Seat, by_design};
 use saltdrum_deployment::Terms;
 use saltdrum_ether::{Ether, Hold, Line as Wire, Lines, stoppable};
+use saltdrum_layers::Digest;
 use saltdrum_layers::plan::Member;
 use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::Life;
+use saltdrum_registry::book::{Change, Stage as Trial, Version};
+use saltdrum_registry::call::Caller;
+use saltdrum_registry::follow::Following;
+use saltdrum_registry::store::Asked;
+use saltdrum_registry::{Name, Namespace, Store as Ledger, service};
 use saltdrum_standin::disk::TearingDisk;
 use saltdrum_standin::invoker::{self, Brings, Site, Tokens};
 use saltdrum_standin::record::{self, Line, Record, Who};
@@ -20,7 +26,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -97,6 +103,9 @@
     store: Rc<Store>,
     list: Rc<List>,
     registry: Rc<Registry>,
+    names: Option<Names>,
+    /// Where controllers keep what the registry told them.
+    copies: PathBuf,
     /// What invokers hear of each other, as late as controllers do.
     known: RefCell<BTreeMap<u32, Life>>,
     layers: Cell<[u64; 5]>,
@@ -107,6 +116,89 @@
     ended: RefCell<Vec<std::thread::JoinHandle<Vec<Line>>>>,
 }
 
+/// The registry of versions: a service in a life of its own.
+struct Names {
+    ledger: PathBuf,
+    address: Address,
+    key: String,
+    life: RefCell<Option<(Rc<service::Registry>, JoinHandle<()>)>>,
+}
+
+impl Names {
+    fn following(&self, who: String, copy: Option<PathBuf>) -> Following {
+        Following { registry: self.address.clone(), key: self.key.clone(), who, copy }
+    }
+
+    async fn start(&self, network: &dyn Network, clock: Clock) -> io::Result<()> {
+        let ledger = Ledger::open_file(&self.ledger).map_err(io::Error::other)?;
+        let registry = service::Registry::new(ledger, None, Rc::new(move || clock.now() / 10));
+        let (door, _) = network.listen(&self.address).await?;
+        let task = tokio::task::spawn_local(registry.clone().attend(door, clock));
+        *self.life.borrow_mut() = Some((registry, task));
+        Ok(())
+    }
+
+    /// As a kill: nothing is said to anybody.
+    async fn kill(&self) {
+        let life = self.life.borrow_mut().take();
+        if let Some((registry, task)) = life {
+            task.abort();
+            let _ = task.await;
+            drop(registry);
+        }
+    }
+}
+
+fn name(text: &str) -> Name {
+    text.parse().expect("it was looked at when the script was read")
+}
+
+/// A model for each function, in versions, pushed to the store and the ledger, with an alias for the first.
+fn versions(
+    day: &Day,
+    ledger: &Path,
+    store: &Registry,
+    models: &mut BTreeMap<String, Vec<u8>>,
+) -> io::Result<String> {
+    let mut ledger = Ledger::open_file(ledger).map_err(io::Error::other)?;
+    let key = service::found(&mut ledger, &name("stage"), [7; 32], 0).map_err(io::Error::other)?;
+    let mut all = Vec::new();
+    for f in day.terms.functions.values() {
+        for n in 1..=day.versions {
+            let tag = format!("v{n}");
+            let manifest = if day.layers == Layers::Off {
+                Digest::of(format!("{}@{tag}", f.name).as_bytes())
+            } else {
+                let mut rng = fastrand::Rng::with_seed(f.id);
+                let mut model: Vec<u8> = (0..day.model_bytes).map(|_| rng.u8(..)).collect();
+                // Versions of one model have most in common.
+                let from = day.model_bytes * 3 / 4;
+                let mut own = fastrand::Rng::with_seed(f.id ^ u64::from(n) << 32);
+                model[from..].iter_mut().for_each(|b| *b = own.u8(..));
+                let manifest = store.push(&f.name, &tag, &model)?;
+                models.insert(format!("{}@{tag}", f.name), model);
+                Digest::of(&manifest.write())
+            };
+            let version = Version {
+                manifest,
+                bytes: day.model_bytes as u64,
+                memory_mb: f.memory as u64,
+                lanes: f.lanes as u32,
+                trigger_types: vec![day.terms.trigger_names[f.trigger].clone()],
+            };
+            all.push(Change::Push { model: name(&f.name), name: name(&tag), version });
+        }
+        let (space, alias) = (Namespace::All, name(&format!("{}-current", f.name)));
+        let (model, version) = (name(&f.name), name("v1"));
+        all.push(Change::Move { space, alias, model, version, expect: 0, stage: None });
+    }
+    let asked = all.into_iter().map(|change| Asked { who: "stage".into(), at_ms: 0, change }).collect();
+    for told in ledger.take(asked).map_err(io::Error::other)? {
+        told.map_err(io::Error::other)?;
+    }
+    Ok(key)
+}
+
 /// Plays a day on the machine's sockets.
 pub fn play_on_sockets(day: &Day, folder: &Path) -> io::Result<Vec<Line>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -193,6 +285,10 @@
     let registry_address = registry.open(&*cast.host("store"), &any("registry")).await?;
     // What folders hold is gone with the day.
     let cellar = tempfile::Builder::new().prefix("saltdrum-layers-").tempdir()?;
+    let names_address = match &cast {
+        Cast::Threads(folder) => Address::Unix(folder.join("registry.sock").to_string_lossy().into_owned()),
+        Cast::Virtual(_) => Address::Memory("names".into()),
+    };
     let mut models = BTreeMap::new();
     if day.layers != Layers::Off {
         for f in day.terms.functions.values() {
@@ -207,6 +303,15 @@
         registry.bytes_per_second.set(day.model_bytes as f64 / (FETCH_SHARE * mean));
         registry.full_pace.set(FULL_PACE);
     }
+    let names = if day.versions == 0 {
+        None
+    } else {
+        let ledger = cellar.path().join("registry.redb");
+        let key = versions(&day, &ledger, &registry, &mut models)?;
+        let names = Names { ledger, address: names_address, key, life: RefCell::default() };
+        names.start(&*cast.host("registry"), clock).await?;
+        Some(names)
+    };
     let (terms, tokens, models) = (Rc::new(day.terms.clone()), Tokens::default(), Rc::new(models));
     let mut invokers = BTreeMap::new();
     for stated in &day.terms.invokers {
@@ -224,6 +329,7 @@
             tokens: tokens.clone(),
             seed: day.seed ^ (u64::from(stated.invoker) << 32),
             fetch_share: FETCH_SHARE,
+            versions: names.as_ref().map(|n| n.following(format!("invoker-{}", stated.invoker), None)),
             layers: (day.layers != Layers::Off).then(|| invoker::Layers {
                 folder: cellar.path().join(stated.invoker.to_string()),
                 cache_bytes: 1 << 30,
@@ -256,6 +362,8 @@
         store,
         list,
         registry,
+        names,
+        copies: cellar.path().to_owned(),
         known: RefCell::default(),
         layers: Cell::default(),
         list_address,
@@ -318,6 +426,14 @@
             Cast::Virtual(_) => Address::Memory(format!("controller-{controller}-{incarnation}")),
         };
         let zone = self.zone_of(controller);
+        let names = self.names.as_ref().map(|n| NamesAt {
+            following: n.following(
+                format!("controller-{controller}"),
+                Some(self.copies.join(format!("names-{controller}"))),
+            ),
+            passage: 120 * SECOND,
+            epoch_ms: 0,
+        });
         let seat = move |terms: Terms, clients: Address, list: Address, seed: u64| Seat {
             controller,
             incarnation,
@@ -326,6 +442,7 @@
             clients: vec![clients],
             list,
             terms: Rc::new(terms),
+            names,
         };
         let seed = self.day.seed ^ (u64::from(controller) << 40) ^ (incarnation << 56);
         let (terms, list, clock) = (self.day.terms.clone(), self.list_address.clone(), self.clock);
@@ -470,6 +587,9 @@
                 this.bring(t).await;
             });
         }
+        if self.day.moves > 0 {
+            tokio::task::spawn_local(self.clone().move_aliases());
+        }
         let arrivals = traffic::draw(&self.day);
         info!(invocations = arrivals.len(), "a day begins");
         for (n, arrival) in arrivals.into_iter().enumerate() {
@@ -484,6 +604,51 @@
         tokio::time::sleep(Duration::from_micros(rest * 100)).await;
     }
 
+    async fn ask(&self, change: Change) -> Result<(), String> {
+        let Some(names) = &self.names else { return Ok(()) };
+        let dialled = Caller::dial(&self.cast.host("admin"), &names.address, &names.key).await;
+        let mut caller = dialled.map_err(|e| e.to_string())?;
+        let asked = caller.call("change", serde_json::json!({ "change": change }));
+        let told = tokio::time::timeout(Duration::from_secs(2), asked).await.map_err(|e| e.to_string())?;
+        told.map(|_| ()).map_err(|e| e.to_string())
+    }
+
+    /// Each alias to the next version, in turns, all within one period.
+    async fn move_aliases(self: Rc<Self>) {
+        let functions: Vec<String> = self.day.terms.functions.keys().cloned().collect();
+        for turn in 1u32.. {
+            let period = self.at(self.day.moves * Tenths::from(turn));
+            if period > self.at(self.day.length) {
+                return;
+            }
+            self.clock.sleep_until(period).await;
+            for f in &functions {
+                let alias = name(&format!("{f}-current"));
+                let life = self.names.as_ref().and_then(|n| Some(n.life.borrow().as_ref()?.0.clone()));
+                // Lost for now: nobody can move anything.
+                let Some(book) = life.map(|registry| registry.book()) else { break };
+                let Some(is) = book.alias(&Namespace::All, &alias).cloned() else { continue };
+                let at: u32 = is.version.to_string().trim_start_matches('v').parse().unwrap_or(1);
+                let version = name(&format!("v{}", at % self.day.versions + 1));
+                let (space, model, expect) = (Namespace::All, is.model.clone(), is.changed);
+                let stage =
+                    |to: &Name| Trial { to: to.clone(), per_mille: 100, errors_per_mille: 100, answers: 40 };
+                let change = match (&is.stage, self.day.staged) {
+                    // Still on trial: there are too few answers to tell.
+                    (Some(_), _) => continue,
+                    (None, true) => {
+                        let stage = Some(stage(&version));
+                        Change::Move { space, alias, model, version, expect, stage }
+                    }
+                    (None, false) => Change::Move { space, alias, model, version, expect, stage: None },
+                };
+                if let Err(why) = self.ask(change).await {
+                    info!(f, why, "an alias was not moved");
+                }
+            }
+        }
+    }
+
     async fn sleep(&self, span: Tenths) {
         tokio::time::sleep(Duration::from_micros(span * 100)).await;
     }
@@ -597,6 +762,41 @@
                     self.restart(*i).await;
                 }
             }
+            Kind::RegistryLost => {
+                if let Some(names) = &self.names {
+                    names.kill().await;
+                    self.sleep(t.lasts).await;
+                    if let Err(e) = names.start(&*self.cast.host("registry"), self.clock).await {
+                        warn!(%e, "the registry could not come back");
+                    }
+                }
+            }
+            Kind::RegistryCut => {
+                let Cast::Virtual(ether) = &self.cast else {
+                    return warn!(t.name, "the machine's own sockets can't be told to: left out");
+                };
+                let both = |change: &dyn Fn(&Ether, &str, &str)| {
+                    for c in t.controllers.iter().map(|c| format!("controller-{c}")) {
+                        change(ether, &c, "registry");
+                        change(ether, "registry", &c);
+                    }
+                };
+                both(&Ether::cut);
+                self.sleep(t.lasts).await;
+                both(&Ether::heal);
+            }
+            Kind::Withdrawn => {
+                for f in &t.functions {
+                    let life = self.names.as_ref().and_then(|n| Some(n.life.borrow().as_ref()?.0.clone()));
+                    let Some(book) = life.map(|registry| registry.book()) else { continue };
+                    let alias = book.alias(&Namespace::All, &name(&format!("{f}-current")));
+                    let Some(before) = alias.and_then(|a| a.before.clone()) else { continue };
+                    let change = Change::Withdraw { model: name(f), name: before };
+                    if let Err(why) = self.ask(change).await {
+                        warn!(f, why, "a version was not withdrawn");
+                    }
+                }
+            }
             Kind::StoreDamages => {
                 self.registry.damage(t.part);
                 self.sleep(t.lasts).await;
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -79,6 +79,8 @@
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
+    /// Passages, and those that mixed versions; none may.
+    pub passages: Option<(usize, usize, Vec<String>)>,
     pub loads: Loads,
     pub layers: Option<Layers>,
     pub day: String,
@@ -253,6 +255,7 @@
     Summary {
         loads,
         layers,
+        passages: crate::passages::look(lines).map(|p| (p.passages, p.longer, p.mixed)),
         day: day.into(),
         rows: rows.collect(),
         in_time_calm: share(calm.iter().filter(|o| in_time(o)).count(), calm.len()),
@@ -358,6 +361,13 @@
                 l.unsound
             );
         }
+        if let Some((passages, longer, mixed)) = &self.passages {
+            out += &format!(
+                "{passages} passages, {longer} of more than one invocation, {} MIXED\n",
+                mixed.len()
+            );
+            mixed.iter().take(5).for_each(|m| out += &format!("  {m}\n"));
+        }
         for r in &self.rules {
             let state = match r.state {
                 State::Kept => "kept",
--- a/crates/lab/src/facts.rs
+++ b/crates/lab/src/facts.rs
@@ -48,6 +48,7 @@
     measure("busiest", "busiest invoker over the mean", false),
     measure("broken", "rules broken", false),
     measure("unsound", "copies not their model", false),
+    measure("mixed", "passages of several versions", false),
     measure("cpu_us", "CPU us an invocation", false),
     measure("controllers_us", "of it controllers", false),
 ];
@@ -191,6 +192,7 @@
         ("busiest", busiest),
         ("broken", summary.rules.iter().filter(|v| v.state == State::Broken).count() as f64),
         ("unsound", summary.layers.as_ref().map_or(f64::NAN, |l| l.unsound as f64)),
+        ("mixed", summary.passages.as_ref().map_or(f64::NAN, |p| p.2.len() as f64)),
         ("cpu_us", cost.map_or(f64::NAN, |c| c.all_s * 1e6 / counted)),
         ("controllers_us", cost.map_or(f64::NAN, |c| c.controllers_s * 1e6 / counted)),
     ];
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -24,7 +24,7 @@
     pub days: usize,
 }
 
-/// Which way a day fails, in words that stay the same while it is cut down: `rule 3`, `copy`, `value`. None: it does not.
+/// Which way a day fails, in words that stay the same while it is cut down: `rule 3`, `copy`, `mixed`, `value`. None: it does not.
 fn fails(script: &Script, cover: Cover, bounds: Bounds) -> Option<(String, String)> {
     let day = script.day().ok()?;
     let played = std::panic::catch_unwind(|| play_covered(&day, cover));
@@ -48,6 +48,9 @@
     if let Some(n) = facts.measures["unsound"].filter(|n| *n > 0.0) {
         return Some(("copy".into(), format!("{n} copies were not their model, and were used")));
     }
+    if let Some(n) = facts.measures["mixed"].filter(|n| *n > 0.0) {
+        return Some(("mixed".into(), format!("{n} passages were answered by several versions")));
+    }
     let value = facts.measures["value"]?;
     let short = bounds.least_value.filter(|least| value < *least)?;
     Some(("value".into(), format!("billed value in time {value:.3}, at least {short:.3} is expected")))
--- a/crates/protocol/src/rpc.rs
+++ b/crates/protocol/src/rpc.rs
@@ -14,6 +14,8 @@
 pub const THROTTLED: i64 = -32_001;
 /// Ended badly; whether it ran is not known.
 pub const ERRORED: i64 = -32_002;
+/// The version that a passage began with can't be had any more; it never ran. A new passage may begin.
+pub const PASSAGE_OVER: i64 = -32_003;
 
 /// One call. `id` is `None` for a notification.
 #[derive(Debug)]
@@ -130,6 +132,15 @@
     pub work_hint_ms: Option<f64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub token: Option<String>,
+    /// What belongs together and is to be answered by one version: the client's own name for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub passage: Option<String>,
+    /// As the answer before in the passage told it; none: the passage begins.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
+    /// As the answer before told it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub passage_until_ms: Option<u64>,
 }
 
 /// One answer, without line break.
--- a/crates/registry/src/names.rs
+++ b/crates/registry/src/names.rs
@@ -3,7 +3,7 @@
 use saltdrum_layers::Digest;
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::str::FromStr;
 
 const MOST_BYTES: usize = 64;
@@ -11,7 +11,7 @@
 /// Of a model, a version, an alias or a key: lower-case letters, digits, and `.`, `-`, `_` between them.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct Name(Rc<str>);
+pub struct Name(Arc<str>);
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("name '{}': {why}; lower-case letters, digits, and . - _ between them are expected", shown(.name))]
--- a/crates/registry/src/passage.rs
+++ b/crates/registry/src/passage.rs
@@ -4,7 +4,7 @@
 //! of a passage names it and until when it holds, and the client hands both back. A version that was handed back is used
 //! or refused, never replaced.
 
-use crate::book::{Alias, Book, Standing, Version};
+use crate::book::{Alias, Book, Revision, Stage, Standing, Version};
 use crate::names::{Name, Namespace};
 use std::collections::BTreeMap;
 
@@ -25,8 +25,18 @@
     pub version: Name,
     /// The passage may not go on with it later than this.
     pub until_ms: u64,
-    /// Whether it runs the new version of a stage (true), the old one (false), or there is none.
-    pub staged: Option<bool>,
+    /// Where the alias is being moved in a stage: which one, and which side this is on.
+    pub staged: Option<Staged>,
+}
+
+/// A side of a stage, for counting how it does.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Staged {
+    pub space: Namespace,
+    pub alias: Name,
+    /// Revision at which the stage began.
+    pub changed: Revision,
+    pub new: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -104,8 +114,9 @@
     ) -> Result<Fixed, Unfixed> {
         let (model, version) = direct(handed).ok_or_else(|| Unfixed::Unknown(handed.to_owned()))?;
         // The name may have moved on, or gone; what must fit is the model.
-        let of_it = match named(book, tenant, name) {
-            Some(alias) => alias.model == model,
+        let alias = named(book, tenant, name);
+        let of_it = match &alias {
+            Some((_, _, alias)) => alias.model == model,
             None => direct(name).is_some_and(|(m, v)| m == model && v == version),
         };
         if !of_it {
@@ -117,10 +128,10 @@
             return Err(Unfixed::Over(handed.to_owned()));
         }
         usable(book, &model, &version)?;
-        let stage =
-            named(book, tenant, name).and_then(|a| Some((a.version.clone(), a.stage.as_ref()?.to.clone())));
-        let staged = stage.and_then(|(old, new)| {
-            (version == new).then_some(true).or_else(|| (version == old).then_some(false))
+        let staged = alias.and_then(|(space, name, alias)| {
+            let new = alias.stage.as_ref().is_some_and(|s| s.to == version);
+            let side = alias.stage.is_some() && (new || version == alias.version);
+            side.then_some(Staged { space, alias: name, changed: alias.changed, new })
         });
         Ok(Fixed { model, version, until_ms, staged })
     }
@@ -134,16 +145,14 @@
         passage: Option<&str>,
     ) -> Result<Fixed, Unfixed> {
         let until_ms = now_ms + self.lasts_ms;
-        if let Some(alias) = named(book, tenant, name) {
-            let staged = alias.stage.as_ref().map(|stage| {
-                // Whoever says no passage stays with the old version: nothing would hold it to the new one.
-                passage.is_some_and(|p| draw(&alias.model, p) < stage.per_mille)
-            });
-            let version = match (&alias.stage, staged) {
-                (Some(stage), Some(true)) => &stage.to,
-                _ => &alias.version,
-            };
+        if let Some((space, name, alias)) = named(book, tenant, name) {
+            // Whoever says no passage stays with the old version: nothing would hold it to the new one.
+            let drawn = |stage: &Stage| passage.is_some_and(|p| draw(&alias.model, p) < stage.per_mille);
+            let new = alias.stage.as_ref().filter(|stage| drawn(stage));
+            let version = new.map_or(&alias.version, |stage| &stage.to);
             usable(book, &alias.model, version)?;
+            let side = Staged { space, alias: name, changed: alias.changed, new: new.is_some() };
+            let staged = alias.stage.is_some().then_some(side);
             return Ok(Fixed { model: alias.model.clone(), version: version.clone(), until_ms, staged });
         }
         let (model, version) = direct(name).ok_or_else(|| Unfixed::Unknown(name.to_owned()))?;
@@ -178,10 +187,14 @@
 }
 
 /// A tenant's own alias goes before one that all see.
-fn named<'a>(book: &'a Book, tenant: &str, name: &str) -> Option<&'a Alias> {
+fn named<'a>(book: &'a Book, tenant: &str, name: &str) -> Option<(Namespace, Name, &'a Alias)> {
     let name: Name = name.parse().ok()?;
-    let own = tenant.parse().ok().and_then(|t| book.alias(&Namespace::Tenant(t), &name));
-    own.or_else(|| book.alias(&Namespace::All, &name))
+    let in_space = |space: Namespace| {
+        let alias = book.alias(&space, &name)?;
+        Some((space, name.clone(), alias))
+    };
+    let own = tenant.parse().ok().and_then(|t| in_space(Namespace::Tenant(t)));
+    own.or_else(|| in_space(Namespace::All))
 }
 
 fn direct(name: &str) -> Option<(Name, Name)> {
--- a/crates/registry/tests/all/book.rs
+++ b/crates/registry/tests/all/book.rs
@@ -246,7 +246,7 @@
         let passage = format!("visitor {n}");
         let fixed = here.fix(&book, 0, "hill", "kinyarwanda-current", &say(&passage, None)).unwrap();
         assert_eq!(there.fix(&book, 0, "hill", "kinyarwanda-current", &say(&passage, None)).unwrap(), fixed);
-        assert_eq!(fixed.staged, Some(fixed.version == name("v2")));
+        assert_eq!(fixed.staged.map(|s| (s.new, s.changed)), Some((fixed.version == name("v2"), 4)));
         new += u32::from(fixed.version == name("v2"));
     }
     assert!((330..470).contains(&new), "{new} of 2,000 began with the new version");
--- a/crates/registry/tests/all/service.rs
+++ b/crates/registry/tests/all/service.rs
@@ -132,12 +132,12 @@
         assert_eq!(seen.borrow().heads.last().unwrap().revision(), 2, "what it said stands");
         site.start(Some(store)).await;
         ms(10_000).await;
-        let seen = seen.borrow();
-        went_up(&seen);
-        let last: Vec<u64> = seen.heads.iter().rev().take(50).map(Head::revision).collect();
+        went_up(&seen.borrow());
+        let heads = seen.borrow().heads.clone();
+        let last: Vec<u64> = heads.iter().rev().take(50).map(Head::revision).collect();
         assert_eq!(last, (3..=52).rev().collect::<Vec<_>>(), "none left out, none twice");
         assert_eq!(
-            seen.heads.last().unwrap(),
+            heads.last().unwrap(),
             &Head { book: site.registry.book(), hash: last_hash(&site).await }
         );
         task.abort();
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -12,6 +12,9 @@
 use saltdrum_protocol::frame::{cut, encode};
 use saltdrum_protocol::invoker as wire;
 use saltdrum_protocol::{list, store};
+use saltdrum_registry::book::{Book, Standing};
+use saltdrum_registry::follow::{Following, Heard, follow};
+use saltdrum_registry::passage::{function_id, function_name};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -64,6 +67,8 @@
     pub seed: u64,
     /// Share of a load that is the fetch.
     pub fetch_share: f64,
+    /// Functions beyond the terms are versions of this registry.
+    pub versions: Option<Following>,
     /// Models come in chunks through an agent, in place of the plain store.
     pub layers: Option<Layers>,
 }
@@ -100,6 +105,10 @@
     life: RefCell<Life>,
     tasks: RefCell<JoinSet<()>>,
     calm: Notify,
+    /// As the registry last told it.
+    book: RefCell<Book>,
+    /// Versions that were asked for: model, and reference at the store.
+    models: RefCell<BTreeMap<FnId, (String, String)>>,
 }
 
 /// What ends with the process.
@@ -128,6 +137,8 @@
     of: Try,
     trigger: String,
     token: Option<String>,
+    function: FnId,
+    passage: Option<String>,
 }
 
 #[derive(serde::Deserialize, Default)]
@@ -138,6 +149,8 @@
     attempt: u32,
     #[serde(default)]
     work_ms: f64,
+    #[serde(default)]
+    passage: Option<String>,
 }
 
 /// Hands what the machine says to the sockets and the record.
@@ -167,6 +180,9 @@
             token: h.token,
             repeat,
         });
+        if let Some(passage) = h.passage {
+            site.record.note(Line::Spoke { at, invoker, of: h.of, function: h.function, passage });
+        }
         !repeat
     }
 
@@ -308,6 +324,8 @@
             life: RefCell::new(life),
             tasks: RefCell::default(),
             calm: Notify::new(),
+            book: RefCell::default(),
+            models: RefCell::default(),
         })
     }
 
@@ -344,9 +362,73 @@
             }
         });
         tasks.spawn_local(async move { ticking.run().await });
+        if let Some(of) = &self.site.versions {
+            let (of, network, seed) = (of.clone(), self.site.network.clone(), self.site.seed ^ 0x4e61);
+            let this = Rc::downgrade(self);
+            let hear = move |heard| {
+                if let (Some(this), Heard::Book(head)) = (this.upgrade(), heard) {
+                    this.told(head.book);
+                }
+            };
+            tasks.spawn_local(follow(of, network, seed, hear));
+        }
         Ok(address)
     }
 
+    /// The registry's book has changed: chunks of versions that a stage will bring are fetched ahead.
+    fn told(self: &Rc<Self>, book: Book) {
+        let stages =
+            book.aliases.values().filter_map(|a| Some((a.model.clone(), a.stage.as_ref()?.to.clone())));
+        let coming: Vec<_> = stages
+            .filter_map(|(model, to)| Some((model.to_string(), book.version(&model, &to)?.version.manifest)))
+            .collect();
+        *self.book.borrow_mut() = book;
+        // Whoever tells us may stand in the very tasks: they can't be added to here.
+        for (model, manifest) in coming {
+            let Some(agent) = self.agent() else { return };
+            tokio::task::spawn_local(async move {
+                // Not there now: it is fetched with the first copy.
+                let _ = agent.load(&model, &manifest.to_string()).await;
+            });
+        }
+    }
+
+    /// Makes a function known that the terms do not state, by its name `MODEL@VERSION`.
+    fn learn(&self, function: FnId, name: &str) {
+        if self.models.borrow().contains_key(&function) {
+            return;
+        }
+        let Some((model, version)) = name.split_once('@') else { return };
+        let (Ok(model), Ok(version)) = (model.parse(), version.parse()) else { return };
+        let book = self.book.borrow();
+        // What the registry has not told us yet is refused for room: it never ran, and may go elsewhere.
+        let Some(held) = book.version(&model, &version).filter(|h| h.standing == Standing::Offered) else {
+            return;
+        };
+        if function != function_id(&model, &version) {
+            return;
+        }
+        let (v, start) = (&held.version, 1_000.0 * MILLI as f64 * (1.0 - self.site.fetch_share));
+        let shape = Shape { memory: v.memory_mb as f64, lanes: v.lanes as usize, start: start as Tenths };
+        self.life.borrow_mut().machine.learn(function, shape);
+        self.models.borrow_mut().insert(function, (model.to_string(), version.to_string()));
+    }
+
+    /// Under which name and reference the store has a function's model, and the name it is compared by.
+    fn model(&self, function: FnId) -> (String, String, String) {
+        if let Some((model, version)) = self.models.borrow().get(&function).cloned() {
+            let (model, version) = (model.parse(), version.parse());
+            if let (Ok(model), Ok(version)) = (model, version) {
+                let manifest = self.book.borrow().version(&model, &version).map(|h| h.version.manifest);
+                let reference = manifest.map_or("gone".to_owned(), |m| m.to_string());
+                return (model.to_string(), reference, function_name(&model, &version));
+            }
+        }
+        let stated = self.site.terms.functions.values().find(|f| f.id == function);
+        let name = stated.map_or("none", |f| f.name.as_str());
+        (name.to_owned(), "current".into(), name.to_owned())
+    }
+
     async fn start_agent(&self, layers: &Layers) -> std::io::Result<Rc<Agent>> {
         let at = layers.at.borrow().clone();
         let (door, address) = self.site.network.listen(&at).await?;
@@ -490,11 +572,11 @@
         let load = stated.and_then(|f| f.load).unwrap_or(1_000 * MILLI) as f64;
         let usual_tenths = (load * self.site.fetch_share) as Tenths;
         if let Some(layers) = &self.site.layers {
-            let name = stated.map_or("none", |f| f.name.as_str());
+            let (name, reference, known_as) = self.model(function);
             // The copy is in memory from here on; its chunks need not be pinned any more.
-            let Some(copy) = self.bring(layers, name).await else { return false };
+            let Some(copy) = self.bring(layers, &name, &reference).await else { return false };
             let (at, invoker) = (self.site.hour.now(), self.site.stated.invoker);
-            let sound = layers.models.get(name).is_some_and(|m| *m == copy);
+            let sound = layers.models.get(&known_as).is_some_and(|m| *m == copy);
             self.site.record.note(Line::Copied { at, invoker, function, sound });
             return true;
         }
@@ -532,7 +614,7 @@
         false
     }
 
-    async fn bring(&self, layers: &Layers, name: &str) -> Option<Vec<u8>> {
+    async fn bring(&self, layers: &Layers, name: &str, reference: &str) -> Option<Vec<u8>> {
         if let Some(brings) = layers.brings {
             let (network, registry) = (self.site.network.clone(), layers.registry.clone());
             let (disk, folder) = (layers.disk.clone(), layers.folder.clone());
@@ -540,7 +622,7 @@
         }
         // A chunk that the disk loses between load and read is fetched anew, once.
         for _ in 0..2 {
-            let loaded = self.agent()?.load(name, "current").await.ok()?;
+            let loaded = self.agent()?.load(name, reference).await.ok()?;
             let parts: Option<Vec<_>> = loaded.manifest.chunks.iter().map(|c| loaded.read(c)).collect();
             if let Some(parts) = parts {
                 return Some(parts.concat());
@@ -621,6 +703,7 @@
                 }
                 wire::FromController::Hold(h) => {
                     let (function, count) = (h.function, h.count);
+                    self.learn(function, &h.name);
                     self.site.record.note(Line::Ordered { at, earliest, invoker, who, function, count });
                     self.with(|machine, now, yard| machine.hold(now, (link, h.order), function, count, yard));
                 }
@@ -655,7 +738,9 @@
             of,
             trigger: trigger.clone(),
         });
-        let held = Held { who, invocation, hop, of, trigger, token: d.token };
+        self.learn(d.function, &d.name);
+        let (function, passage) = (d.function, input.passage);
+        let held = Held { who, invocation, hop, of, trigger, token: d.token, function, passage };
         self.life.borrow_mut().past.insert(job, (invocation, hop));
         let faults = self.faults.borrow().clone();
         let ask = Ask {
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// A function that came later than the machine. What is known of one never changes.
+    pub fn learn(&mut self, function: FnId, shape: Shape) {
+        self.shapes.entry(function).or_insert(shape);
+    }
+
     /// Part of the full capacity it has now.
     fn risen(&self) -> f64 {
         let Some(started) = self.build.started else { return 1.0 };
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -124,6 +124,14 @@
         token: Option<String>,
         repeat: bool,
     },
+    /// By the invoker, of an invocation that belongs to a passage: which function spoke in it.
+    Spoke {
+        at: Tenths,
+        invoker: u32,
+        of: Try,
+        function: u64,
+        passage: String,
+    },
     /// By the invoker: a dispatch ended; `told`: the answer went out.
     Ended {
         at: Tenths,
