saltdrum registry: publish, move, roll back, restore from the command line; stages stop themselves

Operators had no way to the registry, and a stage counted final answers, though the decisions throttle what erred and may be repeated: a version that failed nine times in ten was never stopped. Dispatches are counted now, failed loads among them.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod lab;
 mod layers;
 mod load;
+mod registry;
 mod run;
 
 use clap::{Parser, Subcommand};
@@ -44,6 +45,18 @@
         /// Drawn from the system where it is left out.
         #[arg(long)]
         seed: Option<u64>,
+        /// Where the registry of models is.
+        #[arg(long, requires = "registry_key")]
+        registry: Option<String>,
+        /// File with a reader's key to it.
+        #[arg(long)]
+        registry_key: Option<PathBuf>,
+        /// Folder in which controllers keep what the registry told them.
+        #[arg(long)]
+        registry_copies: Option<PathBuf>,
+        /// How long a passage may last.
+        #[arg(long, default_value_t = 1_800)]
+        passage_s: u64,
         /// A relay that picks at random in place of the design. For measurements: it keeps no rule.
         #[arg(long, hide = true)]
         baseline: bool,
@@ -95,10 +108,19 @@
         time_left_ms: Option<f64>,
         #[arg(long)]
         token: Option<String>,
+        /// Name of the passage that it belongs to.
+        #[arg(long)]
+        passage: Option<String>,
+        /// As the answer before in the passage told it.
+        #[arg(long)]
+        version: Option<String>,
     },
     /// Models as chunks.
     #[command(subcommand)]
     Layers(layers::Layers),
+    /// Versions of models, and the names that stand for them.
+    #[command(subcommand)]
+    Registry(registry::Registry),
     /// Prints a controller's status.
     Status {
         #[arg(long)]
@@ -169,9 +191,22 @@
         logs.init();
     }
     let done = match args.what {
-        What::Serve { deployment, list, clients, first, zone, seed, baseline } => {
+        What::Serve {
+            deployment,
+            list,
+            clients,
+            first,
+            zone,
+            seed,
+            registry,
+            registry_key,
+            registry_copies,
+            passage_s,
+            baseline,
+        } => {
             let make: Make = if baseline { at_random } else { by_design };
-            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, make)
+            let names = run::Names { registry, key: registry_key, copies: registry_copies, passage_s };
+            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, &names, make)
         }
         What::Standin(Standin::Invoker {
             deployment,
@@ -192,12 +227,14 @@
         }
         What::Play { day, virtually, json, record } => run::play(&day, virtually, json, record.as_deref()),
         What::Check { record, json } => run::check(&record, json),
-        What::Call { to, function, tenant, trigger, input, time_left_ms, token } => {
-            run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token)
+        What::Call { to, function, tenant, trigger, input, time_left_ms, token, passage, version } => {
+            let passage = (passage, version);
+            run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token, passage)
         }
         What::Lab(what) => lab::run(&what),
         What::Load(said) => load::run(&said),
         What::Layers(what) => layers::run(&what),
+        What::Registry(what) => registry::run(&what),
         What::Status { to } => run::status(&to),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,6 +1,7 @@
 //! What each sub-command starts.
 
-use saltdrum_controller::{Make, Seat};
+use saltdrum::port::SECOND;
+use saltdrum_controller::{Make, NamesAt, Seat};
 use saltdrum_day::check::State;
 use saltdrum_day::{DAYS, Day, check as rules, play_on_sockets, play_virtually, summary};
 use saltdrum_deployment::Terms;
@@ -9,14 +10,16 @@
 use saltdrum_link::{Address, Clock, Network, Sockets, Turns, turning};
 use saltdrum_protocol::list::{Entry, Life};
 use saltdrum_protocol::rpc;
+use saltdrum_registry::follow::Following;
 use saltdrum_standin::invoker::Site;
 use saltdrum_standin::{Faults, Invoker, List, Record, Registry, Store, record};
 use std::cell::RefCell;
 use std::fs;
 use std::future::Future;
 use std::io::{BufReader, BufWriter, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
 use tokio::task::LocalSet;
 
@@ -39,10 +42,38 @@
     Ok(LocalSet::new().block_on(&runtime.map_err(|e| e.to_string())?, work))
 }
 
-async fn until_interrupted() {
+pub async fn until_interrupted() {
     let _ = tokio::signal::ctrl_c().await;
 }
 
+/// The registry that controllers follow, as it was said.
+pub struct Names {
+    pub registry: Option<String>,
+    pub key: Option<PathBuf>,
+    pub copies: Option<PathBuf>,
+    pub passage_s: u64,
+}
+
+impl Names {
+    fn at(&self, controller: u32) -> Result<Option<NamesAt>, String> {
+        let (Some(registry), Some(key)) = (&self.registry, &self.key) else { return Ok(None) };
+        if let Some(folder) = &self.copies {
+            fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        }
+        let following = Following {
+            registry: registry.parse()?,
+            key: crate::registry::read_key(key)?,
+            who: format!("controller-{controller}"),
+            copy: self.copies.as_ref().map(|folder| folder.join(format!("names-{controller}"))),
+        };
+        // The clock of a controller reads an hour at its start.
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let epoch_ms = now - now.min(Clock::start().now() / 10);
+        Ok(Some(NamesAt { following, passage: self.passage_s * SECOND, epoch_ms }))
+    }
+}
+
+#[expect(clippy::too_many_arguments, reason = "they are what the command line says")]
 pub fn serve(
     deployment: &Path,
     list: &str,
@@ -50,6 +81,7 @@
     first: u32,
     zone: Option<&str>,
     seed: Option<u64>,
+    names: &Names,
     make: Make,
 ) -> Done {
     let terms = terms(deployment)?;
@@ -64,22 +96,15 @@
     for (n, clients) in clients.iter().enumerate() {
         let (clients, list, terms): (Address, _, _) = (clients.parse()?, list.clone(), terms.clone());
         let controller = first + n as u32;
+        let names = names.at(controller)?;
         // Drawn anew at each start, so that invokers and list tell its lives apart.
         let incarnation = fastrand::u64(1..);
         let seed = seed.map_or_else(|| fastrand::u64(..), |s| s ^ u64::from(controller));
         threads.push(std::thread::spawn(move || {
             on_this_thread(async {
                 let (zone, terms) = (zone as u8, Rc::new(terms));
-                let seat = Seat {
-                    controller,
-                    incarnation,
-                    seed,
-                    zone,
-                    clients: vec![clients],
-                    list,
-                    terms,
-                    names: None,
-                };
+                let seat =
+                    Seat { controller, incarnation, seed, zone, clients: vec![clients], list, terms, names };
                 tokio::select! {
                     biased;
                     done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start(), make) => {
@@ -275,6 +300,7 @@
     })?
 }
 
+#[expect(clippy::too_many_arguments, reason = "they are what the command line says")]
 pub fn call(
     to: &str,
     function: &str,
@@ -283,6 +309,7 @@
     input: &str,
     time_left_ms: Option<f64>,
     token: Option<String>,
+    (passage, version): (Option<String>, Option<String>),
 ) -> Done {
     let input: serde_json::Value = serde_json::from_str(input).map_err(|e| format!("--input: {e}"))?;
     let mut params =
@@ -293,6 +320,11 @@
     if let Some(token) = token {
         params["token"] = token.into();
     }
+    for (key, said) in [("passage", passage), ("version", version)] {
+        if let Some(said) = said {
+            params[key] = said.into();
+        }
+    }
     let call = serde_json::json!({"jsonrpc": "2.0", "id": 1, "method": "invoke", "params": params});
     let answer = ask(to, call.to_string())?;
     print!("{answer}");
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -204,15 +204,6 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(reply) = inv.reply.take() else { return };
         let _in = inv.span.enter();
-        // What was throttled never ran, and says nothing of the version.
-        let staged = inv.runs.as_ref().and_then(|r| r.fixed.staged.as_ref());
-        if let (Some(names), Some(staged)) = (&mut self.names, staged) {
-            match &how {
-                Final::Succeeded(_) => names.count(staged, true),
-                Final::Errored(_) => names.count(staged, false),
-                Final::Throttled(_) => {}
-            }
-        }
         let of_passage = inv.runs.as_ref().map_or_else(String::new, |r| {
             format!(r#","version":"{}","passage_until_ms":{}"#, r.name, r.fixed.until_ms)
         });
@@ -361,6 +352,17 @@
         let Some(inv) = desk.invs.get_mut(&id) else { return };
         let Some(out) = inv.out.remove(&hop) else { return };
         out.span.in_scope(|| debug!(?outcome, took_ms = (desk.now - out.sent) / MILLI));
+        // By dispatches, not by final answers: what erred may have been answered well by another try, or throttled.
+        let load_failed = told.is_some_and(|t| t.found == Some(wire::Found::LoadFailed));
+        let well = match outcome {
+            Outcome::Succeeded => Some(true),
+            Outcome::Errored | Outcome::TimedOut => Some(false),
+            _ => load_failed.then_some(false),
+        };
+        let staged = inv.runs.as_ref().and_then(|r| r.fixed.staged.as_ref());
+        if let (Some(names), Some(staged), Some(well)) = (&mut desk.names, staged, well) {
+            names.count(staged, well);
+        }
         desk.timers.remove(&out.timer);
         if let Some(link) = desk.links.get_mut(&out.invoker) {
             link.forget(out.dispatch);
--- a/crates/controller/src/names.rs
+++ b/crates/controller/src/names.rs
@@ -89,7 +89,7 @@
         })
     }
 
-    /// A final answer of an invocation on one side of a stage.
+    /// The end of a dispatch on one side of a stage.
     pub fn count(&mut self, staged: &Staged, well: bool) {
         let key = Staged { new: true, ..staged.clone() };
         if self.stages.len() >= STAGES_MOST && !self.stages.contains_key(&key) {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -115,6 +115,7 @@
     RegistryLost,
     RegistryCut,
     Withdrawn,
+    VersionErrs,
 }
 
 const KINDS: &[(&str, Kind)] = &[
@@ -149,6 +150,7 @@
     ("registry_lost", Kind::RegistryLost),
     ("registry_cut", Kind::RegistryCut),
     ("withdrawn", Kind::Withdrawn),
+    ("version_errs", Kind::VersionErrs),
 ];
 
 #[derive(Clone, Debug)]
@@ -452,7 +454,9 @@
             s.fault(format!("'{}' is no trouble; known are {}", said.name, all.join(", ")))
         })?;
         known(s, &self.terms, &said.functions)?;
-        if self.versions == 0 && matches!(kind, Kind::RegistryLost | Kind::RegistryCut | Kind::Withdrawn) {
+        if self.versions == 0
+            && matches!(kind, Kind::RegistryLost | Kind::RegistryCut | Kind::Withdrawn | Kind::VersionErrs)
+        {
             return Err(s.fault(format!("{name}: versions are expected in day(...)")));
         }
         let need = |what: &str| s.fault(format!("{name}: {what} is expected"));
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -138,6 +138,31 @@
         Ok(())
     }
 
+    fn kill_now(&self) {
+        if let Some((_, task)) = self.life.borrow().as_ref() {
+            task.abort();
+        }
+    }
+
+    /// What was moved, by the history.
+    fn sum_up(&self, at: Tenths) -> io::Result<Line> {
+        let life = self.life.borrow();
+        // Lost at the end of the day: it is read as a start would read it.
+        let entries = match life.as_ref() {
+            Some((registry, _)) => registry.history(),
+            None => Ledger::open_file(&self.ledger).and_then(|ledger| ledger.after(0, usize::MAX)),
+        };
+        let entries = entries.map_err(io::Error::other)?;
+        let count = |of: fn(&Change) -> bool| entries.iter().filter(|e| of(&e.change)).count() as u64;
+        Ok(Line::Registry {
+            at,
+            revision: entries.last().map_or(0, |e| e.revision),
+            moves: count(|c| matches!(c, Change::Move { expect: 1.., .. })),
+            stages_well: count(|c| matches!(c, Change::EndStage { well: true, .. })),
+            stages_stopped: count(|c| matches!(c, Change::EndStage { well: false, .. })),
+        })
+    }
+
     /// As a kill: nothing is said to anybody.
     async fn kill(&self) {
         let life = self.life.borrow_mut().take();
@@ -785,6 +810,13 @@
                 self.sleep(t.lasts).await;
                 both(&Ether::heal);
             }
+            // The second version of a model, wherever it runs.
+            Kind::VersionErrs => {
+                let begin = t.functions.first().map(|f| format!("{f}@v2"));
+                self.fault(&t.invokers, |f| f.fails = begin.clone().map(|b| (b, t.part)));
+                self.sleep(t.lasts).await;
+                self.fault(&t.invokers, |f| f.fails = None);
+            }
             Kind::Withdrawn => {
                 for f in &t.functions {
                     let life = self.names.as_ref().and_then(|n| Some(n.life.borrow().as_ref()?.0.clone()));
@@ -954,6 +986,10 @@
         for i in self.invokers.iter().filter(|(_, i)| i.is_up()).map(|(id, _)| *id) {
             self.crash(i);
         }
+        if let Some(names) = &self.names {
+            names.kill_now();
+            lines.push(names.sum_up(self.clock.now())?);
+        }
         if self.day.layers != Layers::Off {
             let requests = self.registry.requests.borrow();
             let [from_cache, from_peers, from_store, bytes_from_store, damaged] = self.layers.get();
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -79,6 +79,8 @@
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
+    /// Moves of aliases, stages that ended well, and that were stopped.
+    pub moves: Option<(u64, u64, u64)>,
     /// Passages, and those that mixed versions; none may.
     pub passages: Option<(usize, usize, Vec<String>)>,
     pub loads: Loads,
@@ -113,6 +115,7 @@
 /// Sums up a record.
 pub fn sum_up(day: &str, lines: &[Line], rules: Vec<Verdict>) -> Summary {
     let mut all: BTreeMap<u64, One> = BTreeMap::new();
+    let mut moves = None;
     let (mut copies, mut unsound) = (0, 0);
     let (mut loads, mut layers) = (Loads::default(), None);
     let mut value: BTreeMap<String, f64> = BTreeMap::new();
@@ -178,6 +181,9 @@
                     unsound,
                 });
             }
+            Line::Registry { moves: m, stages_well, stages_stopped, .. } => {
+                moves = Some((*m, *stages_well, *stages_stopped));
+            }
             Line::Copied { sound, .. } => {
                 copies += 1;
                 unsound += u64::from(!sound);
@@ -255,6 +261,7 @@
     Summary {
         loads,
         layers,
+        moves,
         passages: crate::passages::look(lines).map(|p| (p.passages, p.longer, p.mixed)),
         day: day.into(),
         rows: rows.collect(),
@@ -361,6 +368,9 @@
                 l.unsound
             );
         }
+        if let Some((moves, well, stopped)) = self.moves {
+            out += &format!("{moves} moves of aliases; {well} stages ended well, {stopped} were stopped\n");
+        }
         if let Some((passages, longer, mixed)) = &self.passages {
             out += &format!(
                 "{passages} passages, {longer} of more than one invocation, {} MIXED\n",
--- a/crates/registry/src/names.rs
+++ b/crates/registry/src/names.rs
@@ -3,8 +3,8 @@
 use saltdrum_layers::Digest;
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::sync::Arc;
 use std::str::FromStr;
+use std::sync::Arc;
 
 const MOST_BYTES: usize = 64;
 
--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -207,6 +207,11 @@
         self.store.borrow().head().book.clone()
     }
 
+    /// All of it, oldest first.
+    pub fn history(&self) -> Result<Vec<Entry>, crate::store::Fault> {
+        self.store.borrow().after(0, usize::MAX)
+    }
+
     /// Listens until dropped.
     pub async fn serve(
         self: Rc<Self>,
--- a/crates/registry/src/stage.rs
+++ b/crates/registry/src/stage.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Answers so far, by one life of one controller. Throttled ones never ran and are not counted.
+/// Ends of dispatches so far, by one life of one controller. Those that never ran are not counted, loads that failed are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tally {
--- a/crates/registry/tests/all/service.rs
+++ b/crates/registry/tests/all/service.rs
@@ -136,10 +136,7 @@
         let heads = seen.borrow().heads.clone();
         let last: Vec<u64> = heads.iter().rev().take(50).map(Head::revision).collect();
         assert_eq!(last, (3..=52).rev().collect::<Vec<_>>(), "none left out, none twice");
-        assert_eq!(
-            heads.last().unwrap(),
-            &Head { book: site.registry.book(), hash: last_hash(&site).await }
-        );
+        assert_eq!(heads.last().unwrap(), &Head { book: site.registry.book(), hash: last_hash(&site).await });
         task.abort();
     });
 }
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -40,6 +40,8 @@
     pub cut_from: Vec<u32>,
     /// Of this tenant's dispatches, so many are refused for room.
     pub refuses: Option<(String, f64)>,
+    /// Of dispatches of functions whose names begin so, this share ends badly at once.
+    pub fails: Option<(String, f64)>,
     /// Load reports are so old.
     pub reports_late: Tenths,
     /// The next answers are sent by halves, and the link is closed after the half.
@@ -743,6 +745,9 @@
         let held = Held { who, invocation, hop, of, trigger, token: d.token, function, passage };
         self.life.borrow_mut().past.insert(job, (invocation, hop));
         let faults = self.faults.borrow().clone();
+        let fails = faults.fails.as_ref().is_some_and(|(begin, share)| {
+            d.name.starts_with(begin) && self.life.borrow_mut().rng.f64() < *share
+        });
         let ask = Ask {
             function: d.function,
             work: input.work_ms * MILLI as f64,
@@ -754,7 +759,7 @@
                 faults.refuses.as_ref().is_some_and(|(t, share)| *t == d.tenant && yard.rng.f64() < *share);
             if refused {
                 yard.answer(job, wire::Ended::Full, None, None, Vec::new());
-            } else if yard.rng.f64() < faults.errors {
+            } else if yard.rng.f64() < faults.errors || fails {
                 yard.answer(job, wire::Ended::Errored, None, None, b"told to fail".to_vec());
             } else {
                 machine.dispatch(now, job, ask, yard);
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -201,6 +201,14 @@
         from_store: u64,
         damaged: u64,
     },
+    /// By the stage, at the end of a day with versions: the registry as it is then.
+    Registry {
+        at: Tenths,
+        revision: u64,
+        moves: u64,
+        stages_well: u64,
+        stages_stopped: u64,
+    },
     /// By the stage: an invoker started, or ended.
     Invoker {
         at: Tenths,
