--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -27,6 +27,8 @@
 
 /// Chunks that the cache could not keep, held in memory for the loads that wait: no more than this.
 const UNKEPT_MOST_BYTES: u64 = 512 << 20;
+/// A chunk that comes damaged from the store so often, and whole from nobody meanwhile, ends the load: its source is bad.
+const CORRUPT_AFTER: u32 = 2;
 /// A manifest is asked for so often, with waits that double.
 const MANIFEST_TRIES: u32 = 6;
 const MANIFEST_WAIT: Duration = Duration::from_millis(100);
@@ -39,6 +41,10 @@
     Manifest { model: String, why: String },
     #[error("model {model}: the store did not answer for its manifest: {why}")]
     Unreachable { model: String, why: String },
+    #[error(
+        "model {model}: chunk {chunk} came damaged from the store {CORRUPT_AFTER} times, and whole from nobody"
+    )]
+    Corrupt { model: String, chunk: Digest },
     #[error("model {model}: {0} bytes of its chunks could not be kept: no room on disk", .bytes)]
     NoRoom { model: String, bytes: u64 },
 }
@@ -108,6 +114,8 @@
     /// Loads, and what they brought, that use a chunk: it is neither evicted nor forgotten meanwhile.
     claims: BTreeMap<Digest, u32>,
     unkept_bytes: u64,
+    /// Of chunks that loads wait for: how often the store sent them damaged.
+    damaged_at_store: BTreeMap<Digest, u32>,
     wake: Tenths,
     loads: LoadId,
     pub busy: f64,
@@ -139,6 +147,7 @@
             state.whole.remove(&self.load);
             state.fetcher.abandon(self.load);
             state.wanted.retain(|digest, _| state.fetcher.wants(digest));
+            state.damaged_at_store.retain(|digest, _| state.fetcher.wants(digest));
         }
         self.agent.go_on();
     }
@@ -172,6 +181,7 @@
             unkept: BTreeMap::new(),
             claims: BTreeMap::new(),
             unkept_bytes: 0,
+            damaged_at_store: BTreeMap::new(),
             wake: 0,
             loads: 0,
             busy: 0.0,
@@ -217,7 +227,13 @@
                 self.state.borrow_mut().wanted.insert(chunk.digest, known);
             }
         }
-        self.wait_for(&needs).await;
+        tokio::select! {
+            biased;
+            () = self.wait_for(&needs) => {}
+            chunk = self.corrupt(&needs, CORRUPT_AFTER) => {
+                return Err(Fault::Corrupt { model: format!("{repository}:{reference}"), chunk });
+            }
+        }
         let lacking =
             |c: &&Chunk| !self.cache.holds(&c.digest) && !self.state.borrow().unkept.contains_key(&c.digest);
         let bytes = loaded.manifest.chunks.iter().filter(lacking).map(|c| c.stored_bytes).sum();
@@ -275,11 +291,33 @@
         let _ = whole.await;
     }
 
+    /// Comes back when one of these has no source that holds.
+    async fn corrupt(&self, needs: &[Need], after: u32) -> Digest {
+        loop {
+            // Before the look, so that nothing is told between the two.
+            let moved = self.moved.notified();
+            let found = {
+                let state = self.state.borrow();
+                let bad = |n: &&Need| state.damaged_at_store.get(&n.digest).is_some_and(|t| *t >= after);
+                needs.iter().find(bad).map(|n| n.digest)
+            };
+            if let Some(digest) = found {
+                return digest;
+            }
+            moved.await;
+        }
+    }
+
     /// As `wait_for`, for one chunk that a peer wants of us as its home.
     pub(crate) async fn fetch_for_peer(self: &Rc<Self>, chunk: Chunk, repository: &str) {
-        let need = Need { digest: chunk.digest, bytes: chunk.stored_bytes };
+        let needs = [Need { digest: chunk.digest, bytes: chunk.stored_bytes }];
         self.state.borrow_mut().wanted.insert(chunk.digest, (chunk, repository.to_owned()));
-        self.wait_for(&[need]).await;
+        tokio::select! {
+            biased;
+            () = self.wait_for(&needs) => {}
+            // It had better see for itself, and soon: whoever waits for us can't tell us from a slow one.
+            _ = self.corrupt(&needs, 1) => {}
+        }
     }
 
     async fn manifest(&self, repository: &str, reference: &str) -> Result<(Digest, Manifest), Fault> {
@@ -414,6 +452,13 @@
         let whole = {
             let state = &mut *self.state.borrow_mut();
             state.asks.remove(&ask.attempt);
+            match (how, ask.source) {
+                (Ended::Well, _) => drop(state.damaged_at_store.remove(&ask.digest)),
+                (Ended::Damaged, Source::Store) => {
+                    *state.damaged_at_store.entry(ask.digest).or_default() += 1;
+                }
+                _ => {}
+            }
             let whole = state.fetcher.ended(self.clock.now(), ask.attempt, how);
             if how == Ended::Well {
                 state.wanted.remove(&ask.digest);
--- a/crates/agent/tests/fleet.rs
+++ b/crates/agent/tests/fleet.rs
@@ -161,7 +161,8 @@
         let (a, _) = &f.agents[0];
         let given_up =
             tokio::time::timeout(Duration::from_secs(8), a.load("voices/kinyarwanda", "current")).await;
-        assert!(given_up.is_err(), "it can't be had");
+        let told = given_up.expect("it is told within seconds").err().expect("it can't be had");
+        assert!(matches!(&told, saltdrum_agent::Fault::Corrupt { chunk, .. } if *chunk == bad), "{told}");
         assert!(f.damaged() >= 1 && f.agents.iter().all(|(a, _)| !a.cache.holds(&bad)));
         f.registry.faults.borrow_mut().damaged.clear();
         f.herd("current").await;
--- a/crates/day/src/clients.rs
+++ b/crates/day/src/clients.rs
@@ -63,6 +63,8 @@
     pub fronts: RefCell<Vec<(Who, Address, bool)>>,
     lines: RefCell<BTreeMap<(u32, u32), Connection>>,
     next: Cell<usize>,
+    /// Passages that go on.
+    pub passages: Cell<usize>,
 }
 
 /// Between the invocations of a passage.
@@ -80,8 +82,8 @@
         turns: Turns,
         record: Record,
     ) -> Rc<Self> {
-        let (fronts, lines, next) = Default::default();
-        Rc::new(Self { day, network, clock, turns, record, fronts, lines, next })
+        let (fronts, lines, next, passages) = Default::default();
+        Rc::new(Self { day, network, clock, turns, record, fronts, lines, next, passages })
     }
 
     fn next_front(&self) -> Option<(Who, Address)> {
@@ -101,6 +103,7 @@
         if self.day.versions == 0 {
             return self.invoke_once(n, &a, None).await;
         }
+        self.passages.set(self.passages.get() + 1);
         let mut passage = Passage { name: format!("{n}"), ..Default::default() };
         for part in 0..u64::from(self.day.passage) {
             if part > 0 {
@@ -108,9 +111,10 @@
             }
             self.invoke_once(n * 1_000 + part, &a, Some(&mut passage)).await;
             if passage.over {
-                return;
+                break;
             }
         }
+        self.passages.set(self.passages.get() - 1);
     }
 
     async fn invoke_once(self: &Rc<Self>, n: u64, a: &Arrival, mut passage: Option<&mut Passage>) {
@@ -228,6 +232,7 @@
                 self.record.note(Line::HungUp { at: self.clock.now(), of });
             }
             line.outbox.close();
+            self.passages.set(self.passages.get().saturating_sub(1));
             // Whoever hangs up does not come back.
             std::future::pending::<()>().await;
         }
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -159,6 +159,7 @@
             revision: entries.last().map_or(0, |e| e.revision),
             moves: count(|c| matches!(c, Change::Move { expect: 1.., .. })),
             stages_well: count(|c| matches!(c, Change::EndStage { well: true, .. })),
+            corrupt: life.as_ref().map_or_else(Vec::new, |(registry, _)| registry.corrupt()),
             stages_stopped: count(|c| matches!(c, Change::EndStage { well: false, .. })),
         })
     }
@@ -627,6 +628,11 @@
         let tries = u64::from(self.day.retries) + 1;
         let rest = tries * (longest.unwrap_or(0) + 4 * self.day.backoff) + SECOND;
         tokio::time::sleep(Duration::from_micros(rest * 100)).await;
+        // Passages go on for as long as all of their invocations may take.
+        let most = self.clock.now() + rest * Tenths::from(self.day.passage);
+        while self.clients.passages.get() > 0 && self.clock.now() < most {
+            self.sleep(SECOND / 10).await;
+        }
     }
 
     async fn ask(&self, change: Change) -> Result<(), String> {
@@ -829,6 +835,16 @@
                     }
                 }
             }
+            // Of certain models only: their latest versions' own chunks, for which nobody has another source.
+            Kind::StoreDamages
+                if t.functions.len() < self.day.terms.functions.len() && !t.functions.is_empty() =>
+            {
+                for f in &t.functions {
+                    self.registry.damage_model(f, &format!("v{}", self.day.versions));
+                }
+                self.sleep(t.lasts).await;
+                self.registry.faults.borrow_mut().damaged.clear();
+            }
             Kind::StoreDamages => {
                 self.registry.damage(t.part);
                 self.sleep(t.lasts).await;
--- a/crates/day/tests/models.rs
+++ b/crates/day/tests/models.rs
@@ -101,3 +101,25 @@
     assert_eq!((none, stopped), (0, 1), "the one that fails, and no other");
     assert!(at_once > 100 && staged * 4 < at_once, "{at_once} not served at once, {staged} in a stage");
 }
+
+/// A version that is corrupt at the store, so at every source: it is told within seconds, and never used.
+#[test]
+fn a_version_without_a_sound_source_is_reported_and_its_invocations_end_plainly() {
+    let text = script().lines().filter(|l| !l.starts_with("trouble(")).collect::<Vec<_>>().join("\n");
+    let text = text.replace("versions = 40, moves = \"1s\"", "versions = 2, moves = \"5s\"");
+    let text = text.replace("length = \"30s\"", "length = \"9s\"");
+    let text =
+        format!("{text}\ntrouble('store_damages', at = '0s', lasts = '60s', functions = ['voice-0'])\n");
+    let lines = play_virtually(&Day::load("models", &text).unwrap(), serve).unwrap();
+    let s = judged(&lines);
+    assert_eq!(s.layers.as_ref().unwrap().unsound, 0);
+    let told = lines
+        .iter()
+        .find_map(|l| if let Line::Registry { corrupt, .. } = l { Some(corrupt.clone()) } else { None });
+    let told = told.unwrap();
+    // Aliases move 5 s after the day's begin, which is half a second after the hour that clocks begin with.
+    let moved_ms = 3_600_500 + 5_000;
+    assert!(told.len() == 1 && told[0].0 == "voice-0@v2", "{told:?}");
+    assert!((moved_ms..moved_ms + 10_000).contains(&told[0].1), "{told:?}");
+    assert!(s.tries.unanswered == 0 && s.loads.failed > 0, "{}", s.text());
+}
--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -61,6 +61,23 @@
     refused: bool,
 }
 
+/// What invokers said of a version.
+#[derive(Clone, Debug)]
+struct Corrupt {
+    times: u64,
+    first_ms: u64,
+    last_ms: u64,
+    why: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaysCorrupt {
+    model: Name,
+    version: Name,
+    why: String,
+}
+
 pub struct Registry {
     store: RefCell<Store>,
     /// Where blobs lie, if they lie here.
@@ -69,6 +86,8 @@
     /// By alias, and the revision at which its stage began.
     tallies: RefCell<BTreeMap<(Namespace, Name), (Revision, Tallies)>>,
     followers: RefCell<BTreeMap<String, Follower>>,
+    /// Versions of which invokers could get no copy that holds.
+    corrupt: RefCell<BTreeMap<(Name, Name), Corrupt>>,
     waiting: RefCell<Vec<Waiting>>,
     asked: Notify,
     news: tokio::sync::watch::Sender<Revision>,
@@ -195,6 +214,7 @@
             keeper: RefCell::default(),
             tallies: RefCell::default(),
             followers: RefCell::default(),
+            corrupt: RefCell::default(),
             waiting: RefCell::default(),
             asked: Notify::new(),
             news,
@@ -212,6 +232,12 @@
         self.store.borrow().after(0, usize::MAX)
     }
 
+    /// Versions of which no source holds, and since when, in milliseconds of the service's hour.
+    pub fn corrupt(&self) -> Vec<(String, u64)> {
+        let all = self.corrupt.borrow();
+        all.iter().map(|((model, version), c)| (format!("{model}@{version}"), c.first_ms)).collect()
+    }
+
     /// Listens until dropped.
     pub async fn serve(
         self: Rc<Self>,
@@ -439,6 +465,11 @@
                 let who = self.may(caller, Role::Reader)?;
                 self.tally(&who, params(call)?).await
             }
+            "corrupt" => {
+                let who = self.may(caller, Role::Reader)?;
+                let said: SaysCorrupt = params(call)?;
+                self.says_corrupt(&who, said)
+            }
             "collect" => {
                 self.may(caller, Role::Owner)?;
                 self.collect(&params::<Collect>(call)?)
@@ -462,6 +493,21 @@
         }
     }
 
+    /// Only of versions that are there: what is kept of it is bounded by them.
+    fn says_corrupt(&self, who: &Name, said: SaysCorrupt) -> Answered {
+        if self.store.borrow().head().book.version(&said.model, &said.version).is_none() {
+            return Err(bad(format!("version '{}@{}' is not known", said.model, said.version)));
+        }
+        let now_ms = (self.hour)();
+        let why: String = said.why.chars().take(300).collect();
+        warn!(model = %said.model, version = %said.version, %who, why, "no source of a version holds");
+        let mut all = self.corrupt.borrow_mut();
+        let new = Corrupt { times: 0, first_ms: now_ms, last_ms: now_ms, why: String::new() };
+        let known = all.entry((said.model, said.version)).or_insert(new);
+        (known.times, known.last_ms, known.why) = (known.times + 1, now_ms, why);
+        Ok(json!({"times": known.times}))
+    }
+
     fn status(&self) -> Json {
         let store = self.store.borrow();
         let head = store.head();
@@ -474,7 +520,16 @@
                     "behind": head.revision().saturating_sub(f.sent)})
             })
             .collect();
-        json!({"revision": head.revision(), "hash": head.hash, "writable": store.writable(),
+        let corrupt: Vec<Json> = self
+            .corrupt
+            .borrow()
+            .iter()
+            .map(|((model, version), c)| {
+                json!({"model": model, "version": version, "times": c.times, "first_ms": c.first_ms,
+                    "last_ms": c.last_ms, "why": c.why})
+            })
+            .collect();
+        json!({"revision": head.revision(), "hash": head.hash, "corrupt": corrupt, "writable": store.writable(),
             "versions": head.book.versions.len(), "aliases": head.book.aliases.len(), "followers": followers})
     }
 
--- a/crates/registry/tests/all/service.rs
+++ b/crates/registry/tests/all/service.rs
@@ -296,6 +296,7 @@
             ("change", json!({"change": moves(1, 99, None)}), "is not known"),
             ("watch", json!({"who": "x".repeat(99), "mark": {"revision": 0, "hash": ""}}), "64 bytes"),
             ("begin", json!({"digests": ["sha256:zz"]}), "64 hexadecimal digits"),
+            ("corrupt", json!({"model": "m", "version": "v", "why": ""}), "is not known"),
             ("fly", json!({}), "not known here"),
         ];
         for (method, params, why) in asks {
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -13,6 +13,7 @@
 use saltdrum_protocol::invoker as wire;
 use saltdrum_protocol::{list, store};
 use saltdrum_registry::book::{Book, Standing};
+use saltdrum_registry::call::Caller;
 use saltdrum_registry::follow::{Following, Heard, follow};
 use saltdrum_registry::passage::{function_id, function_name};
 use std::cell::{Cell, RefCell};
@@ -616,6 +617,25 @@
         false
     }
 
+    /// A version of which no source holds is told to the registry: someone has to push it again, or withdraw it.
+    async fn tell_corrupt(&self, why: &saltdrum_agent::Fault, reference: &str) {
+        let (saltdrum_agent::Fault::Corrupt { .. }, Some(of)) = (why, &self.site.versions) else { return };
+        let said = self.book.borrow().versions.iter().find_map(|((model, version), held)| {
+            let it = held.version.manifest.to_string() == reference;
+            it.then(|| serde_json::json!({"model": model, "version": version, "why": why.to_string()}))
+        });
+        let Some(said) = said else { return };
+        let (of, network) = (of.clone(), self.site.network.clone());
+        tokio::task::spawn_local(async move {
+            let telling = async {
+                let mut caller = Caller::dial(&network, &of.registry, &of.key).await?;
+                caller.call("corrupt", said).await
+            };
+            // The next load that fails tells it again.
+            let _ = tokio::time::timeout(Duration::from_secs(2), telling).await;
+        });
+    }
+
     async fn bring(&self, layers: &Layers, name: &str, reference: &str) -> Option<Vec<u8>> {
         if let Some(brings) = layers.brings {
             let (network, registry) = (self.site.network.clone(), layers.registry.clone());
@@ -624,7 +644,13 @@
         }
         // A chunk that the disk loses between load and read is fetched anew, once.
         for _ in 0..2 {
-            let loaded = self.agent()?.load(name, reference).await.ok()?;
+            let loaded = match self.agent()?.load(name, reference).await {
+                Ok(loaded) => loaded,
+                Err(why) => {
+                    self.tell_corrupt(&why, reference).await;
+                    return None;
+                }
+            };
             let parts: Option<Vec<_>> = loaded.manifest.chunks.iter().map(|c| loaded.read(c)).collect();
             if let Some(parts) = parts {
                 return Some(parts.concat());
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -208,6 +208,8 @@
         moves: u64,
         stages_well: u64,
         stages_stopped: u64,
+        /// Versions of which invokers told that no source holds, and since when the first.
+        corrupt: Vec<(String, u64)>,
     },
     /// By the stage: an invoker started, or ended.
     Invoker {
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -213,6 +213,17 @@
         self.faults.borrow_mut().damaged = struck;
     }
 
+    /// What a tag has of its own comes damaged from now on; what it shares with others does not.
+    pub fn damage_model(&self, repository: &str, tag: &str) {
+        let manifests = self.manifests.borrow();
+        let chunks = |bytes: &Bytes| Manifest::read(bytes).map(|m| m.chunks).unwrap_or_default();
+        let Some(it) = manifests.get(&(repository.to_owned(), tag.to_owned())) else { return };
+        let others = manifests.values().filter(|bytes| *bytes != it).flat_map(chunks);
+        let shared: BTreeSet<Digest> = others.map(|c| c.digest).collect();
+        let own = chunks(it).into_iter().map(|c| c.digest).filter(|d| !shared.contains(d));
+        self.faults.borrow_mut().damaged.extend(own);
+    }
+
     async fn blob(self: Rc<Self>, digest: Digest, range: Option<String>) -> Response<Sending> {
         *self.requests.borrow_mut().entry(digest).or_default() += 1;
         let Some(mut bytes) = self.blobs.borrow().get(&digest).cloned() else {
