--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -140,6 +140,11 @@
         listen: String,
         #[arg(long)]
         store: Option<String>,
+        /// Where the registry of models is: functions beyond the deployment's are its versions.
+        #[arg(long, requires = "registry_key")]
+        registry: Option<String>,
+        #[arg(long)]
+        registry_key: Option<PathBuf>,
         /// Takes work and answers nothing.
         #[arg(long)]
         hangs: bool,
@@ -213,12 +218,15 @@
             number,
             listen,
             store,
+            registry,
+            registry_key,
             hangs,
             errors,
             loses_answers,
         }) => {
             let faults = saltdrum_standin::Faults { hangs, errors, loses_answers, ..Default::default() };
-            run::invoker(&deployment, number, &listen, store.as_deref(), faults)
+            let names = run::Names { registry, key: registry_key, copies: None, passage_s: 0 };
+            run::invoker(&deployment, number, &listen, store.as_deref(), &names, faults)
         }
         What::Standin(Standin::Store { listen, limit }) => run::store(&listen, limit),
         What::Standin(Standin::Registry { folder, listen, limit }) => run::registry(&folder, &listen, limit),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -55,17 +55,18 @@
 }
 
 impl Names {
-    fn at(&self, controller: u32) -> Result<Option<NamesAt>, String> {
+    fn following(&self, who: String, copy: &str) -> Result<Option<Following>, String> {
         let (Some(registry), Some(key)) = (&self.registry, &self.key) else { return Ok(None) };
         if let Some(folder) = &self.copies {
             fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         }
-        let following = Following {
-            registry: registry.parse()?,
-            key: crate::registry::read_key(key)?,
-            who: format!("controller-{controller}"),
-            copy: self.copies.as_ref().map(|folder| folder.join(format!("names-{controller}"))),
-        };
+        let copy = self.copies.as_ref().map(|folder| folder.join(copy));
+        Ok(Some(Following { registry: registry.parse()?, key: crate::registry::read_key(key)?, who, copy }))
+    }
+
+    fn at(&self, controller: u32) -> Result<Option<NamesAt>, String> {
+        let (who, copy) = (format!("controller-{controller}"), format!("names-{controller}"));
+        let Some(following) = self.following(who, &copy)? else { return Ok(None) };
         // The clock of a controller reads an hour at its start.
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
         let epoch_ms = now - now.min(Clock::start().now() / 10);
@@ -85,6 +86,12 @@
     make: Make,
 ) -> Done {
     let terms = terms(deployment)?;
+    if terms.functions.is_empty() && names.registry.is_none() {
+        let place = deployment.display();
+        return Err(format!(
+            "{place}: no function(...) is stated, and no --registry: nothing could be invoked"
+        ));
+    }
     let list: Address = list.parse()?;
     let zone = match zone {
         None => 0,
@@ -121,7 +128,15 @@
     Ok(0)
 }
 
-pub fn invoker(deployment: &Path, number: u32, listen: &str, store: Option<&str>, faults: Faults) -> Done {
+pub fn invoker(
+    deployment: &Path,
+    number: u32,
+    listen: &str,
+    store: Option<&str>,
+    names: &Names,
+    faults: Faults,
+) -> Done {
+    let versions = names.following(format!("invoker-{number}"), "")?;
     let terms = Rc::new(terms(deployment)?);
     let stated = terms.invokers.iter().find(|i| i.invoker == number).cloned();
     let stated = stated.ok_or(format!("invoker {number}: the deployment states {}", terms.invokers.len()))?;
@@ -142,7 +157,7 @@
             tokens: Default::default(),
             seed: fastrand::u64(..),
             fetch_share: 0.6,
-            versions: None,
+            versions,
             layers: None,
         };
         let invoker = Invoker::new(site);
--- a/crates/deployment/src/terms.rs
+++ b/crates/deployment/src/terms.rs
@@ -264,7 +264,6 @@
             ("machine", t.kinds.is_empty()),
             ("trigger_type", t.trigger_names.is_empty()),
             ("tenant", t.tenant_names.is_empty()),
-            ("function", t.functions.is_empty()),
         ];
         if let Some((what, _)) = missing.iter().find(|m| m.1) {
             let place = crate::script::Place { file: file.into(), line: 1 };
