What is handed back is remembered as well

A client that handed its version back to a second controller once and forgot it the next time began with the moved alias there: seen when the program was used by hand. The controller now remembers handed-back passages too, within the same bound.

--- a/crates/registry/src/passage.rs
+++ b/crates/registry/src/passage.rs
@@ -90,7 +90,16 @@
             return Err(Unfixed::Passage);
         }
         if let Some(version) = said.version {
-            return self.handed_back(book, now_ms, tenant, name, version, said.until_ms);
+            let fixed = self.handed_back(book, now_ms, tenant, name, version, said.until_ms)?;
+            // Whoever forgets to hand it back the next time is kept to it here, at least.
+            if let Some(passage) = said.passage {
+                let key = (tenant.to_owned(), name.to_owned(), passage.to_owned());
+                let same = |f: &Fixed| f.version == fixed.version && f.until_ms == fixed.until_ms;
+                if !self.begun.get(&key).is_some_and(same) {
+                    self.remember(key, &fixed);
+                }
+            }
+            return Ok(fixed);
         }
         let Some(passage) = said.passage else { return self.begins(book, now_ms, tenant, name, None) };
         let key = (tenant.to_owned(), name.to_owned(), passage.to_owned());
--- a/crates/registry/tests/all/book.rs
+++ b/crates/registry/tests/all/book.rs
@@ -196,6 +196,11 @@
     // Another controller, told of the move: by what the client hands back.
     let handed = say("p", Some("kinyarwanda@v1"));
     assert_eq!(there.fix(&moved, 5, "hill", "kinyarwanda-current", &handed).unwrap().version, name("v1"));
+    // And once it has been, by its own memory too.
+    assert_eq!(
+        there.fix(&moved, 5, "hill", "kinyarwanda-current", &say("p", None)).unwrap().version,
+        name("v1")
+    );
     // The same one, not told by the client: by its own memory.
     assert_eq!(here.fix(&moved, 5, "hill", "kinyarwanda-current", &say("p", None)).unwrap(), first);
     assert_eq!(
