The test of bent bytes must meet some; a counter nobody read is gone

Reread: the test passed even if no bent byte was ever caught, and the registry counted its writes for nobody.

--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -14,7 +14,7 @@
 use saltdrum_protocol::rpc::{self, Call, Id, Line};
 use serde::Deserialize;
 use serde_json::{Value as Json, json};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -92,7 +92,6 @@
     asked: Notify,
     news: tokio::sync::watch::Sender<Revision>,
     hour: Hour,
-    pub writes: Cell<u64>,
 }
 
 #[derive(Deserialize)]
@@ -219,7 +218,6 @@
             asked: Notify::new(),
             news,
             hour,
-            writes: Cell::new(0),
         })
     }
 
@@ -302,7 +300,6 @@
             }
         }
         let taken = self.store.borrow_mut().take(asked);
-        self.writes.set(self.writes.get() + 1);
         match taken {
             Ok(all) => {
                 for (told, (to, held)) in all.into_iter().zip(to) {
--- a/crates/registry/tests/all/kills.rs
+++ b/crates/registry/tests/all/kills.rs
@@ -174,5 +174,5 @@
             Ok(Err(_)) | Err(_) => caught += 1,
         }
     }
-    let _ = caught;
+    assert!(caught > 0, "no bent byte was met: the disk is all blank");
 }
