--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod lab;
 mod layers;
 mod load;
+mod node;
 mod registry;
 mod run;
 
@@ -61,6 +62,8 @@
         #[arg(long, hide = true)]
         baseline: bool,
     },
+    /// Runs one real controller of the platform: RELAY_CONFIG names its configuration. Ends after SIGTERM.
+    Node,
     /// Runs one stand-in until interrupted.
     #[command(subcommand)]
     Standin(Standin),
@@ -213,6 +216,7 @@
             let names = run::Names { registry, key: registry_key, copies: registry_copies, passage_s };
             run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, &names, make)
         }
+        What::Node => node::run(),
         What::Standin(Standin::Invoker {
             deployment,
             number,
--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: JSON-RPC by lines. A client that hangs up, lies or reads too slowly suffers alone.
 
-use crate::front::Front;
+use crate::front::{self, Front};
 use bytes::Bytes;
 use saltdrum::port::{InvId, Tenths};
 use saltdrum_link::{Clock, Listener, Outbox, Read, Stream, halves};
@@ -218,12 +218,12 @@
         "invoke" => {
             let params = call.params.as_ref().map_or("{}", |p| p.get());
             match serde_json::from_str::<rpc::Invoke>(params) {
-                Ok(invoke) => front.tell(|state| state.invoke(invoke, least_left, earliest, reply)),
+                Ok(invoke) => front.tell(|state| front::invoke(state, invoke, least_left, earliest, reply)),
                 Err(e) => reply.refuse(rpc::INVALID_PARAMS, &e.to_string()),
             }
         }
         "status" => {
-            let status = front.status();
+            let status = front::status(front);
             reply.put(|id| rpc::result(id, &status), ANY_TIME);
         }
         other => {
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -1,5 +1,6 @@
 //! Links to invokers: one multiplexed connection each, dialled again when it is lost.
 
+use crate::desk::Told;
 use crate::front::{Front, State};
 use crate::redial::Redial;
 use bytes::{Bytes, BytesMut};
@@ -29,13 +30,6 @@
     Down,
 }
 
-pub(crate) struct Order {
-    pub function: FnId,
-    pub sent: Tenths,
-    pub timer: (Tenths, u64),
-    ticket: Ticket,
-}
-
 struct Sent {
     inv: InvId,
     hop: u8,
@@ -46,7 +40,7 @@
     pub entry: Entry,
     /// By this controller's clock.
     pub started: Option<Tenths>,
-    pub orders: BTreeMap<u64, Order>,
+    pub orders: BTreeMap<u64, Ticket>,
     phase: Phase,
     outbox: Outbox,
     out: BTreeMap<u64, Sent>,
@@ -106,19 +100,12 @@
         Ok(self.last)
     }
 
-    pub fn hold(
-        &mut self,
-        function: FnId,
-        name: String,
-        count: u8,
-        now: Tenths,
-        timer: (Tenths, u64),
-    ) -> Option<u64> {
+    pub fn hold(&mut self, function: FnId, name: String, count: u8) -> Option<u64> {
         let order = self.last + 1;
         let until = if count > 0 { self.cutoff } else { Tenths::MAX };
         let ticket = self.put(encode(&wire::Hold { order, function, name, count }), until)?;
         self.last = order;
-        self.orders.insert(order, Order { function, sent: now, timer, ticket });
+        self.orders.insert(order, ticket);
         Some(order)
     }
 
@@ -157,14 +144,14 @@
     }
 
     fn is_new_work(&self, ticket: Ticket) -> bool {
-        self.out.values().any(|s| s.ticket == ticket) || self.orders.values().any(|o| o.ticket == ticket)
+        self.out.values().any(|s| s.ticket == ticket) || self.orders.values().any(|o| *o == ticket)
     }
 }
 
 /// The time of [`Link::cut_at`] has come.
 pub(crate) fn cut_off(state: &mut State, invoker: InvokerId) {
     let now = state.desk.now;
-    let Some(link) = state.desk.links.get_mut(&invoker).filter(|l| now >= l.cutoff) else { return };
+    let Some(link) = state.desk.reach.links.get_mut(&invoker).filter(|l| now >= l.cutoff) else { return };
     let gone = link.outbox.withdraw(now, |t| link.is_new_work(t));
     if link.outbox.begun().is_some_and(|t| link.is_new_work(t)) {
         warn!(invoker, "a frame is stuck half-way to an invoker that drains: the link is cut");
@@ -175,19 +162,19 @@
 
 /// Frames that were withdrawn: their dispatches never ran, their orders reached nobody.
 fn not_sent(state: &mut State, invoker: InvokerId, tickets: &[Ticket]) {
-    let Some(link) = state.desk.links.get(&invoker) else { return };
+    let Some(link) = state.desk.reach.links.get(&invoker) else { return };
     let out: Vec<(InvId, u8)> =
         link.out.values().filter(|s| tickets.contains(&s.ticket)).map(|s| (s.inv, s.hop)).collect();
     let orders: Vec<u64> =
-        link.orders.iter().filter(|(_, o)| tickets.contains(&o.ticket)).map(|(id, _)| *id).collect();
-    out.into_iter().for_each(|(inv, hop)| state.ended(inv, hop, Outcome::NotSent, None));
+        link.orders.iter().filter(|(_, o)| tickets.contains(o)).map(|(id, _)| *id).collect();
+    out.into_iter().for_each(|(inv, hop)| state.ended(inv, hop, Outcome::NotSent, &Told::default()));
     orders.into_iter().for_each(|order| state.held(invoker, order, HoldOutcome::Unreachable, 0));
 }
 
 /// The connection is gone, or never came: each dispatch ends by what is known of its frame.
 fn lost(state: &mut State, invoker: InvokerId) {
     let now = state.desk.now;
-    let Some(link) = state.desk.links.get_mut(&invoker) else { return };
+    let Some(link) = state.desk.reach.links.get_mut(&invoker) else { return };
     link.redial.lost(now);
     link.phase = Phase::Down;
     link.outbox.close();
@@ -197,10 +184,10 @@
         link.out.values().map(|s| (s.inv, s.hop, link.outbox.has_left(s.ticket))).collect();
     let orders: Vec<u64> = link.orders.keys().copied().collect();
     for (inv, hop, left) in out {
-        state.ended(inv, hop, if left { Outcome::Reset } else { Outcome::NoConnection }, None);
+        state.ended(inv, hop, if left { Outcome::Reset } else { Outcome::NoConnection }, &Told::default());
     }
     orders.into_iter().for_each(|order| state.held(invoker, order, HoldOutcome::Unreachable, 0));
-    if let Some(link) = state.desk.links.get_mut(&invoker) {
+    if let Some(link) = state.desk.reach.links.get_mut(&invoker) {
         link.out.clear();
         link.given_up = Default::default();
     }
@@ -211,23 +198,23 @@
     loop {
         let plan = front.tell(|state| {
             let desk = &mut state.desk;
-            let links = desk.links.len();
-            let link = desk.links.get_mut(&invoker)?;
+            let links = desk.reach.links.len();
+            let link = desk.reach.links.get_mut(&invoker)?;
             if link.entry.life == saltdrum_protocol::list::Life::Gone {
                 return None;
             }
-            let mut wait = link.redial.wait(&mut desk.rng);
+            let mut wait = link.redial.wait(&mut desk.reach.rng);
             if link.redial.failing() {
-                wait += desk.dials.again(desk.now, links);
+                wait += desk.reach.dials.again(desk.now, links);
             } else {
-                wait += desk.dials.first(desk.now);
+                wait += desk.reach.dials.first(desk.now);
                 begin(link);
             }
             Some((wait, link.changed.clone()))
         });
         let Some((wait, changed)) = plan else {
             // Gone: until the list names it again.
-            let changed = front.tell(|state| state.desk.links.get(&invoker).map(|l| l.changed.clone()));
+            let changed = front.tell(|state| state.desk.reach.links.get(&invoker).map(|l| l.changed.clone()));
             match changed {
                 Some(changed) => changed.notified().await,
                 None => return,
@@ -240,7 +227,7 @@
             () = changed.notified() => continue,
         }
         let (address, outbox, broken) = front.tell(|state| {
-            let link = state.desk.links.get_mut(&invoker).expect("links stay");
+            let link = state.desk.reach.links.get_mut(&invoker).expect("links stay");
             begin(link);
             (link.entry.address.clone(), link.outbox.clone(), link.broken.clone())
         });
@@ -327,7 +314,7 @@
 
 fn up(state: &mut State, invoker: InvokerId, welcome: &wire::Welcome) {
     let now = state.desk.now;
-    let Some(link) = state.desk.links.get_mut(&invoker) else { return };
+    let Some(link) = state.desk.reach.links.get_mut(&invoker) else { return };
     link.phase = Phase::Up;
     link.redial.up(now);
     debug!(invoker, "link up");
@@ -364,7 +351,7 @@
 }
 
 fn hear_one(state: &mut State, invoker: InvokerId, message: wire::FromInvoker) -> Result<(), String> {
-    let Some(link) = state.desk.links.get_mut(&invoker) else { return Ok(()) };
+    let Some(link) = state.desk.reach.links.get_mut(&invoker) else { return Ok(()) };
     match message {
         wire::FromInvoker::Answer(a) => {
             let Some(sent) = link.out.get(&a.dispatch) else {
@@ -390,8 +377,8 @@
                 wire::Ended::Miss => Outcome::Miss,
                 wire::Ended::Cancelled => Outcome::Cancelled,
             };
-            state.ended(inv, hop, outcome, Some(&a));
-            if let Some(link) = state.desk.links.get_mut(&invoker) {
+            state.ended(inv, hop, outcome, &told(&a));
+            if let Some(link) = state.desk.reach.links.get_mut(&invoker) {
                 // Its one answer is here: a second would be a lie.
                 link.given_up.remove(&a.dispatch);
             }
@@ -411,3 +398,21 @@
     }
     Ok(())
 }
+
+fn told(a: &wire::Answer) -> Told {
+    let finite = |x: &f32| x.is_finite();
+    Told {
+        found: a.found.map(|found| match found {
+            wire::Found::Warm => Found::Warm,
+            wire::Found::BeganLoad => Found::BeganLoad,
+            wire::Found::JoinedLoad => Found::JoinedLoad,
+            wire::Found::LoadFailed => Found::LoadFailed,
+        }),
+        crowd: a.crowd,
+        report: Report {
+            util: a.load.cores_busy.filter(finite).map(f64::from),
+            queue: a.load.waiting.filter(finite).map(f64::from),
+        },
+        output: Bytes::copy_from_slice(&a.output),
+    }
+}
--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -62,7 +62,7 @@
             info!(revision, settled, entries = entries.len(), "invoker list");
         }
         let new = front.tell(|state| {
-            state.desk.list_revision = revision;
+            state.desk.reach.list_revision = revision;
             told(state, whole && settled, entries)
         });
         new.into_iter().for_each(|invoker| reach(front, invoker));
@@ -72,10 +72,10 @@
 /// What the list says reaches the links first, so that nothing the module then does meets an old one. Gives invokers
 /// that were not known.
 fn told(state: &mut State, whole: bool, entries: Vec<wire::Entry>) -> Vec<InvokerId> {
-    let (now, grace) = (state.desk.now, state.desk.terms.deployment.drain_grace);
+    let (now, grace) = (state.desk.now, state.desk.reach.terms.deployment.drain_grace);
     let (mut new, mut all, mut cut) = (Vec::new(), Vec::new(), Vec::new());
     if whole {
-        for link in state.desk.links.values_mut() {
+        for link in state.desk.reach.links.values_mut() {
             if !entries.iter().any(|e| e.invoker == link.entry.invoker) {
                 link.entry.life = wire::Life::Gone;
                 cut.push(link.entry.invoker);
@@ -85,7 +85,7 @@
     for mut entry in entries {
         let started = now.checked_sub(entry.age_tenths);
         let id = entry.invoker;
-        let link = state.desk.links.entry(id).or_insert_with(|| {
+        let link = state.desk.reach.links.entry(id).or_insert_with(|| {
             new.push(id);
             Link::new(entry.clone(), started)
         });
@@ -112,7 +112,7 @@
     for invoker in cut {
         // Half the grace is for the way and for what has begun to leave.
         let at = now + grace / 2;
-        if let Some(link) = state.desk.links.get_mut(&invoker) {
+        if let Some(link) = state.desk.reach.links.get_mut(&invoker) {
             link.cut_at(at);
         }
         state.desk.later(at, Box::new(move |state| cut_off(state, invoker)));
--- a/crates/controller/src/names.rs
+++ b/crates/controller/src/names.rs
@@ -139,7 +139,7 @@
     let hear = move |heard| {
         hearing.tell(|state| {
             let now = state.desk.now;
-            if let Some(names) = &mut state.desk.names {
+            if let Some(names) = &mut state.desk.reach.names {
                 names.hear(now, heard);
             }
         });
@@ -153,7 +153,7 @@
     loop {
         tokio::time::sleep(TELL_EVERY).await;
         let news: Vec<(Staged, Tally)> = front.tell(|state| {
-            let Some(names) = &mut state.desk.names else { return Vec::new() };
+            let Some(names) = &mut state.desk.reach.names else { return Vec::new() };
             let news = names.stages.iter().filter(|(_, c)| c.tally != c.told);
             news.map(|(s, c)| (s.clone(), c.tally)).collect()
         });
@@ -162,7 +162,7 @@
         }
         match tokio::time::timeout(TOLD_WITHIN, told(front, of, &news)).await {
             Ok(Ok(())) => front.tell(|state| {
-                let Some(names) = &mut state.desk.names else { return };
+                let Some(names) = &mut state.desk.reach.names else { return };
                 for (stage, tally) in &news {
                     if let Some(counted) = names.stages.get_mut(stage) {
                         counted.told = *tally;
--- /dev/null
+++ b/crates/platform-wire/src/feed.rs
@@ -0,0 +1,125 @@
+//! The control feed: numbered events about the list of invokers. Numbers are big-endian.
+
+use crate::Malformed;
+use bytes::{Buf, BytesMut};
+use saltdrum::port::{InvokerId, Life, Listed};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const RECORD: usize = 27;
+/// Bytes of a frame that its length counts beside its records.
+const HEAD: usize = 9;
+/// A list of so many lines is none.
+const RECORDS_MOST: usize = 65_536;
+
+/// One line of the list, and where the invoker listens.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    pub invoker: InvokerId,
+    pub address: SocketAddrV4,
+    pub life: Life,
+    pub zone: u8,
+    pub kind: u16,
+    pub cell: u16,
+    pub size: f64,
+    /// Unix milliseconds of a late start.
+    pub started_ms: Option<u64>,
+}
+
+impl Line {
+    /// As the module is told of it; `started` is the start on the controller's own clock.
+    pub fn listed(&self, started: Option<saltdrum::port::Tenths>) -> Listed {
+        let Self { invoker, life, zone, kind, cell, size, .. } = *self;
+        Listed { invoker, zone, kind, cell, life, size, started }
+    }
+}
+
+/// One frame of the feed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    Nothing,
+    Whole(Vec<Line>),
+    Changes(Vec<Line>),
+}
+
+/// Cuts the next whole frame off, with its number; `None`: more bytes are needed.
+pub fn cut(bytes: &mut BytesMut) -> Result<Option<(u64, Event)>, Malformed> {
+    let Some(head) = bytes.get(..4) else { return Ok(None) };
+    let length = u32::from_be_bytes(head.try_into().expect("four bytes")) as usize;
+    let most = HEAD + RECORDS_MOST * RECORD;
+    if !(HEAD..=most).contains(&length) || !(length - HEAD).is_multiple_of(RECORD) {
+        let (least, most) = (HEAD as u64, most as u64);
+        return Err(Malformed::Length { what: "event", got: length as u64, least, most });
+    }
+    if bytes.len() < 4 + length {
+        return Ok(None);
+    }
+    let mut frame = bytes.split_to(4 + length);
+    frame.advance(4);
+    let (number, kind) = (frame.get_u64(), frame.get_u8());
+    let mut lines = Vec::with_capacity(frame.len() / RECORD);
+    while frame.has_remaining() {
+        lines.push(record(&mut frame)?);
+    }
+    let event = match kind {
+        0 => Event::Nothing,
+        1 => Event::Whole(lines),
+        2 => Event::Changes(lines),
+        _ => return Err(Malformed::value("kind of an event", kind, "0, 1 or 2 is expected")),
+    };
+    Ok(Some((number, event)))
+}
+
+fn record(frame: &mut BytesMut) -> Result<Line, Malformed> {
+    let invoker = frame.get_u32();
+    let address = Ipv4Addr::from(frame.get_u32());
+    let address = SocketAddrV4::new(address, frame.get_u16());
+    let life = match frame.get_u8() {
+        0 => Life::Ready,
+        1 => Life::Draining,
+        2 => Life::Gone,
+        state => return Err(Malformed::value("state of an invoker", state, "0, 1 or 2 is expected")),
+    };
+    let (zone, kind, cell) = (frame.get_u8(), u16::from(frame.get_u8()), frame.get_u16());
+    let (size, started) = (f64::from(frame.get_u32()) / 1_000.0, frame.get_u64());
+    let started_ms = Some(started).filter(|ms| *ms > 0);
+    Ok(Line { invoker, address, life, zone, kind, cell, size, started_ms })
+}
+
+/// Writes a frame, for those who play the feed.
+pub fn encode(number: u64, event: &Event) -> Vec<u8> {
+    let (kind, lines): (u8, &[Line]) = match event {
+        Event::Nothing => (0, &[]),
+        Event::Whole(lines) => (1, lines),
+        Event::Changes(lines) => (2, lines),
+    };
+    let mut out = ((HEAD + lines.len() * RECORD) as u32).to_be_bytes().to_vec();
+    out.extend(number.to_be_bytes());
+    out.push(kind);
+    for l in lines {
+        out.extend(l.invoker.to_be_bytes());
+        out.extend(l.address.ip().octets());
+        out.extend(l.address.port().to_be_bytes());
+        out.push(match l.life {
+            Life::Ready => 0,
+            Life::Draining => 1,
+            Life::Gone => 2,
+        });
+        out.extend([l.zone, l.kind as u8]);
+        out.extend(l.cell.to_be_bytes());
+        out.extend(((l.size * 1_000.0).round() as u32).to_be_bytes());
+        out.extend(l.started_ms.unwrap_or(0).to_be_bytes());
+    }
+    out
+}
+
+/// An id as it stands in text.
+pub fn id_text(id: InvokerId) -> String {
+    format!("s-{id:08x}")
+}
+
+pub fn id_of(text: &str) -> Result<InvokerId, Malformed> {
+    let digits = text.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()));
+    digits
+        .and_then(|d| u32::from_str_radix(d, 16).ok())
+        .ok_or_else(|| Malformed::value("id of an invoker", text, "s- and 8 hex digits are expected"))
+}
--- /dev/null
+++ b/crates/platform-wire/src/http.rs
@@ -0,0 +1,82 @@
+//! Fields of HTTP towards invokers, and what their answers mean.
+
+use saltdrum::port::{Found, HoldOutcome, Outcome, Report};
+
+pub const TXN: &str = "x-txn";
+pub const FUNCTION: &str = "x-name";
+pub const LIMIT_MS: &str = "x-limit-ms";
+pub const TOKEN: &str = "x-dedupe";
+const UNRUN: &str = "x-unrun";
+const HOW: &str = "x-how";
+const AHEAD: &str = "x-ahead";
+const GAUGES: &str = "x-gauges";
+const UNITS: &str = "x-units";
+
+/// What an answer tells beside its outcome.
+#[derive(Debug, Clone, Default)]
+pub struct Notes {
+    pub found: Option<Found>,
+    pub crowd: Option<u8>,
+    pub report: Report,
+    pub standing: u8,
+}
+
+pub fn function_path(function: u64) -> String {
+    format!("/obj/{function:016x}")
+}
+
+/// Reads a load report such as `inflight:7;util:0.61`. What can't be read is left out: it is advice.
+pub fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(';').filter_map(|pair| pair.split_once(':')) {
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite());
+        match name.trim() {
+            "util" => report.util = value,
+            "queue" => report.queue = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+/// What the fields of an answer say; `field` looks one up by its lower-case name.
+pub fn notes<'a>(field: impl Fn(&str) -> Option<&'a str>) -> Notes {
+    let found = field(HOW).and_then(|how| match how.trim() {
+        "resident" => Some(Found::Warm),
+        "booted" => Some(Found::BeganLoad),
+        "rode" => Some(Found::JoinedLoad),
+        "boot_error" => Some(Found::LoadFailed),
+        _ => None,
+    });
+    let small = |name| field(name).and_then(|n| n.trim().parse::<u32>().ok()).map(|n| n.min(255) as u8);
+    Notes {
+        found,
+        crowd: small(AHEAD).filter(|n| *n > 0),
+        report: field(GAUGES).map(report).unwrap_or_default(),
+        standing: small(UNITS).unwrap_or(0),
+    }
+}
+
+fn unrun<'a>(field: &impl Fn(&str) -> Option<&'a str>) -> bool {
+    field(UNRUN).is_some_and(|v| v.trim() == "1")
+}
+
+/// How a dispatch ended by its answer's status. What is not known for certain never to have run may have run.
+pub fn outcome<'a>(status: u16, field: impl Fn(&str) -> Option<&'a str>) -> Outcome {
+    match status {
+        200 => Outcome::Succeeded,
+        404 => Outcome::Miss,
+        503 if unrun(&field) => Outcome::Full,
+        504 if unrun(&field) => Outcome::NotSent,
+        _ => Outcome::Errored,
+    }
+}
+
+/// How an order to hold ended.
+pub fn held<'a>(status: u16, field: impl Fn(&str) -> Option<&'a str>) -> HoldOutcome {
+    match status {
+        200 => HoldOutcome::Standing,
+        503 if unrun(&field) => HoldOutcome::NoRoom,
+        _ => HoldOutcome::LoadFailed,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/life.rs
@@ -0,0 +1,183 @@
+//! A controller's life: start, ready, SIGHUP, SIGTERM, end.
+
+use crate::budget::Budget;
+use crate::clients::{self, Clients};
+use crate::feed::{self, Feed};
+use crate::reach::{Front, Lines};
+use saltdrum::port::*;
+use saltdrum_controller::Make;
+use saltdrum_controller::desk::Desk;
+use saltdrum_link::{Address, Clock, Network, turning};
+use saltdrum_platform_wire::config::{self, Config};
+use saltdrum_platform_wire::feed::Event;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tracing::{info, warn};
+
+/// For so long after SIGTERM invocations still come, on connections old and new.
+const STILL_COME: Duration = Duration::from_millis(800);
+/// How often it is looked whether all is answered.
+const LOOK: Duration = Duration::from_millis(10);
+/// Longer than this after the longest client timeout nobody waits any more.
+const OVER: Duration = Duration::from_millis(500);
+
+/// Why a controller can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    #[error("{place}: {why}")]
+    Unreadable { place: String, why: std::io::Error },
+    #[error("{place}: {fault}")]
+    Config { place: String, fault: config::Fault },
+    #[error("{what} {got}: {expected} is expected, as in the configuration")]
+    Differs { what: &'static str, got: String, expected: String },
+    #[error("can't listen on {at}: {why}")]
+    Listen { at: String, why: std::io::Error },
+    #[error("signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Where a controller sits on the platform.
+pub struct Seat {
+    pub(crate) seed: u64,
+    pub(crate) deployment: Deployment,
+    pub(crate) trigger_names: Rc<[String]>,
+    pub(crate) budget: Budget,
+    pub(crate) clients: Clients,
+    pub(crate) feed: Feed,
+    /// What the clock of Unix read, in tenths, when the controller's read 0.
+    pub(crate) unix_origin: Tenths,
+}
+
+/// What a controller is started with.
+pub struct Life {
+    pub config: PathBuf,
+    /// As the environment says it; must be what the file says, where it is said.
+    pub listen: Option<String>,
+    pub name: Option<String>,
+    /// Unix milliseconds now, from the one place that reads the system's clock.
+    pub unix_ms: u64,
+}
+
+fn read(life: &Life) -> Result<Config, Failure> {
+    let place = life.config.display().to_string();
+    let text = std::fs::read_to_string(&life.config)
+        .map_err(|why| Failure::Unreadable { place: place.clone(), why })?;
+    let config = config::read(&text).map_err(|fault| Failure::Config { place, fault })?;
+    let listen = config.listen.to_string();
+    let said = [("RELAY_LISTEN", &life.listen, listen), ("RELAY_NAME", &life.name, config.name.clone())];
+    for (what, got, expected) in said {
+        if let Some(got) = got.as_ref().filter(|got| **got != expected) {
+            return Err(Failure::Differs { what, got: got.clone(), expected });
+        }
+    }
+    Ok(config)
+}
+
+/// Runs one controller until SIGTERM and its last answer.
+pub async fn serve(life: Life, network: Rc<dyn Network>, clock: Clock, make: Make) -> Result<(), Failure> {
+    let mut reloads = signal(SignalKind::hangup()).map_err(Failure::Signals)?;
+    let mut ends = signal(SignalKind::terminate()).map_err(Failure::Signals)?;
+    let config = read(&life)?;
+    let (now, d) = (clock.now(), config.deployment);
+    let budget = Budget::of(&config.limits);
+    info!(name = config.name, ?budget, controllers = d.controllers, "starts");
+    let trigger_names: Rc<[String]> = config.trigger_names.into();
+    let reach = Lines::new(budget, config.connect_timeout, config.conn_idle, trigger_names.clone());
+    let mut desk = Desk::new(now, reach, &d, config.order_timeout);
+    let module = make(now, d.clone(), config.seed, &mut desk);
+    let seat = Seat {
+        seed: config.seed,
+        deployment: d,
+        trigger_names,
+        budget,
+        clients: Clients::default(),
+        feed: Feed::new(config.feed, config.known.0),
+        unix_origin: (life.unix_ms * MILLI).saturating_sub(now),
+    };
+    let front = Rc::new(Front::new(module, desk, clock, network, seat));
+    front.tell(|state| {
+        state.desk.reach.know(&front);
+        for (_, event) in &config.known.1 {
+            match event {
+                Event::Nothing => {}
+                Event::Whole(lines) => feed::tell(&front, state, true, lines),
+                Event::Changes(lines) => feed::tell(&front, state, false, lines),
+            }
+        }
+    });
+    let at = Address::Tcp(config.listen.to_string());
+    let listening = front.network.listen(&at).await;
+    let (door, _) = listening.map_err(|why| Failure::Listen { at: at.to_string(), why })?;
+    let turns = front.turns.clone();
+    tokio::task::spawn_local(turning(turns, clock, |_, gap| {
+        info!(stood_ms = gap / MILLI, "this controller stood still");
+    }));
+    tokio::task::spawn_local(feed::follow(front.clone()));
+    tokio::task::spawn_local(clients::sweep(front.clone()));
+    let timers = front.clone();
+    tokio::task::spawn_local(async move { timers.run_timers().await });
+    let taking_in = tokio::task::spawn_local(clients::receive(front.clone(), door));
+    loop {
+        tokio::select! {
+            biased;
+            _ = ends.recv() => break,
+            _ = reloads.recv() => reload(&life, &front),
+        }
+    }
+    leave(&front, ends, reloads, &life, taking_in.abort_handle()).await;
+    Ok(())
+}
+
+/// A file that is bad or half-written changes nothing.
+fn reload(life: &Life, front: &Front) {
+    let place = life.config.display().to_string();
+    let text = match std::fs::read_to_string(&life.config) {
+        Ok(text) => text,
+        Err(why) => return warn!(place, %why, "the configuration can't be read again: the old one stands"),
+    };
+    match config::read_feed(&text) {
+        Ok(address) => {
+            info!(%address, "configuration read again");
+            front.seat.feed.moves(address);
+        }
+        Err(fault) => warn!(place, %fault, "the new configuration is bad: the old one stands"),
+    }
+}
+
+/// Takes what still comes, answers all that was taken, then ends. Further signals change nothing.
+async fn leave(
+    front: &Rc<Front>,
+    mut ends: Signal,
+    mut reloads: Signal,
+    life: &Life,
+    taking_in: tokio::task::AbortHandle,
+) {
+    let longest = front.seat.deployment.trigger_types.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    info!("told to end: takes what still comes, then answers the rest");
+    front.seat.clients.go_away();
+    let answered = async {
+        tokio::time::sleep(STILL_COME).await;
+        taking_in.abort();
+        let owed = || front.see(|state| state.desk.owing()) > 0 || front.seat.clients.are_owed_bytes();
+        while owed() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    let over = Duration::from_micros(longest * 100) + STILL_COME + OVER;
+    let signals = async {
+        loop {
+            tokio::select! {
+                _ = ends.recv() => {}
+                _ = reloads.recv() => reload(life, front),
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        () = answered => info!("all is answered: ends"),
+        () = tokio::time::sleep(over) => warn!("ends with answers owed that nobody waits for"),
+        () = signals => {}
+    }
+}
--- /dev/null
+++ b/crates/platform/src/line.rs
@@ -0,0 +1,184 @@
+//! One connection to an invoker: HTTP/1.1 by hyper, over a stream that counts what left.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use saltdrum::port::Tenths;
+use saltdrum_link::{Clock, Stream};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::task::AbortHandle;
+
+/// Heads longer than this are no heads.
+const HEAD_MOST: usize = 16 << 10;
+const HEADERS_MOST: usize = 64;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// The socket under a line. Whoever gives a request up closes it at once, whatever hyper holds of it.
+pub(crate) struct Socket {
+    stream: RefCell<Option<Stream>>,
+    clock: Clock,
+    /// Of the request on it: what left of it, how much of its head's end was met, what of its body is missing.
+    left: Cell<u64>,
+    head: Cell<usize>,
+    body: Cell<u64>,
+    /// Rule 3: no request begins to leave from then on.
+    cutoff: RefCell<Rc<Cell<Tenths>>>,
+}
+
+impl Socket {
+    fn new(stream: Stream, clock: Clock) -> Self {
+        let stream = RefCell::new(Some(stream));
+        let (left, head, body, cutoff) = Default::default();
+        Self { stream, clock, left, head, body, cutoff }
+    }
+
+    fn begin(&self, body: usize, cutoff: Rc<Cell<Tenths>>) {
+        self.left.set(0);
+        self.head.set(0);
+        self.body.set(body as u64);
+        *self.cutoff.borrow_mut() = cutoff;
+    }
+
+    /// Whether the request on it was handed to the machine to its last byte. If not, no invoker can have run it.
+    pub fn left_whole(&self) -> bool {
+        self.head.get() == HEAD_END.len() && self.body.get() == 0
+    }
+
+    pub fn has_begun(&self) -> bool {
+        self.left.get() > 0
+    }
+
+    pub fn close(&self) {
+        self.stream.borrow_mut().take();
+    }
+
+    fn count(&self, bytes: &[u8]) {
+        self.left.set(self.left.get() + bytes.len() as u64);
+        for (n, b) in bytes.iter().enumerate() {
+            let met = self.head.get();
+            if met == HEAD_END.len() {
+                self.body.set(self.body.get().saturating_sub((bytes.len() - n) as u64));
+                return;
+            }
+            self.head.set(if *b == HEAD_END[met] { met + 1 } else { usize::from(*b == HEAD_END[0]) });
+        }
+    }
+
+    /// Nothing to read, and not at its end: it may be used once more.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let mut cx = Context::from_waker(Waker::noop());
+        let mut stream = self.stream.borrow_mut();
+        let Some(stream) = stream.as_mut() else { return false };
+        Pin::new(stream).poll_read(&mut cx, &mut ReadBuf::new(&mut byte)).is_pending()
+    }
+}
+
+struct Io(Rc<Socket>);
+
+impl Io {
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut Stream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.0.stream.borrow_mut().as_mut() {
+            Some(stream) => act(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+        }
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.with(|s| s.poll_read(cx, buf))
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let socket = &self.0;
+        if !socket.has_begun() && socket.clock.now() >= socket.cutoff.borrow().get() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let polled = self.with(|s| s.poll_write(cx, bytes));
+        if let Poll::Ready(Ok(n)) = polled {
+            socket.count(&bytes[..n]);
+        }
+        polled
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(|s| s.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(|s| s.poll_shutdown(cx))
+    }
+}
+
+/// An answer read to its end.
+pub(crate) struct Whole {
+    pub status: u16,
+    pub headers: hyper::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Whole {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+}
+
+pub(crate) struct Line {
+    pub socket: Rc<Socket>,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.socket.close();
+        self.task.abort();
+    }
+}
+
+impl Line {
+    pub async fn over(stream: Stream, clock: Clock) -> Result<Self, hyper::Error> {
+        let socket = Rc::new(Socket::new(stream, clock));
+        let mut builder = Builder::new();
+        builder.max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
+        let (sender, connection) = builder.handshake(TokioIo::new(Io(socket.clone()))).await?;
+        let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
+        Ok(Self { socket, sender, task })
+    }
+
+    /// Whether another request may go over it.
+    pub fn is_reusable(&self) -> bool {
+        !self.task.is_finished() && self.sender.is_ready() && self.socket.is_quiet()
+    }
+
+    /// Asks, and reads the answer to its end: at most `most` bytes of it, as a spoilt one may never end.
+    pub async fn ask(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        body: usize,
+        cutoff: Rc<Cell<Tenths>>,
+        most: usize,
+    ) -> Result<Whole, String> {
+        self.socket.begin(body, cutoff);
+        let answer = self.sender.send_request(request).await.map_err(|e| said(&e))?;
+        let (head, body): (_, Incoming) = Response::into_parts(answer);
+        let body = http_body_util::Limited::new(body, most).collect().await.map_err(|e| e.to_string())?;
+        Ok(Whole { status: head.status.as_u16(), headers: head.headers, body: body.to_bytes() })
+    }
+}
+
+fn said(e: &hyper::Error) -> String {
+    let inner = std::error::Error::source(e).map(|s| format!(": {s}")).unwrap_or_default();
+    format!("{e}{inner}")
+}
--- /dev/null
+++ b/crates/platform/src/reach.rs
@@ -0,0 +1,552 @@
+//! How invokers are reached: a pool of lines to each, by its id and never by its address, one request a line at a time.
+
+use crate::budget::Budget;
+use crate::clients::Reply;
+use crate::life::Seat;
+use crate::line::{Line, Socket, Whole};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use saltdrum::port::*;
+use saltdrum_controller::desk::{self, Reach, Sending, Told};
+use saltdrum_link::Address;
+use saltdrum_platform_wire::feed::Line as Listing;
+use saltdrum_platform_wire::{frames, http};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tracing::{debug, info};
+
+pub(crate) type Front = desk::Front<Lines>;
+pub(crate) type State = desk::State<Lines>;
+
+/// An idle line is closed by us before the invoker would close it: at this share of the stated time.
+const IDLE_SHARE: (Tenths, Tenths) = (3, 4);
+/// An order without an answer of its own, and a probe, are given up after this.
+const ASIDE_MOST: Duration = Duration::from_secs(2);
+const SMALL_ANSWER: usize = 4 << 10;
+
+/// What of an invocation goes along with its dispatches.
+pub(crate) struct Carried {
+    pub trigger: usize,
+    pub txn: u64,
+    pub token: Option<String>,
+    pub body: Bytes,
+    /// Inputs held, over all invocations.
+    held: Rc<Cell<usize>>,
+}
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.held.set(self.held.get() - self.body.len());
+    }
+}
+
+struct Pool {
+    address: SocketAddrV4,
+    life: Life,
+    /// Rule 3: nothing begins to leave from then on.
+    cutoff: Rc<Cell<Tenths>>,
+    /// The freshest last, each with when it became idle.
+    idle: Vec<(Tenths, Line)>,
+    /// Requests under way.
+    under_way: usize,
+}
+
+enum Of {
+    Dispatch {
+        inv: InvId,
+        hop: u8,
+    },
+    /// New work or not: to ask and to unload are no new work.
+    Order {
+        new_work: bool,
+    },
+    Aside,
+}
+
+struct Job {
+    invoker: InvokerId,
+    of: Of,
+    socket: Option<Rc<Socket>>,
+    task: AbortHandle,
+}
+
+/// Sizes of the tables, for tests and the log: none may grow with what was ever seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    pub pools: usize,
+    pub lines: usize,
+    pub jobs: usize,
+    pub clients: usize,
+    pub bytes: usize,
+}
+
+pub(crate) struct Lines {
+    front: Weak<Front>,
+    budget: Budget,
+    connect_timeout: Duration,
+    conn_idle: Tenths,
+    trigger_names: Rc<[String]>,
+    pools: BTreeMap<InvokerId, Pool>,
+    jobs: BTreeMap<u64, Job>,
+    last: u64,
+    /// Lines that stand, are made or were just given up, idle ones among them.
+    open: Rc<Cell<usize>>,
+    held: Rc<Cell<usize>>,
+}
+
+/// Counts a descriptor for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(of: &Rc<Cell<usize>>) -> Self {
+        of.set(of.get() + 1);
+        Self(of.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Lines {
+    pub fn new(
+        budget: Budget,
+        connect_timeout: Tenths,
+        conn_idle: Tenths,
+        trigger_names: Rc<[String]>,
+    ) -> Self {
+        let connect_timeout = Duration::from_micros(connect_timeout * 100);
+        let (pools, jobs, last, open, held) = Default::default();
+        let front = Weak::new();
+        Self { front, budget, connect_timeout, conn_idle, trigger_names, pools, jobs, last, open, held }
+    }
+
+    pub fn know(&mut self, front: &Rc<Front>) {
+        self.front = Rc::downgrade(front);
+    }
+
+    /// What goes along with an invocation, if there is room to hold it.
+    pub fn carry(&self, trigger: usize, txn: u64, token: Option<String>, body: Bytes) -> Option<Carried> {
+        let held = self.held.get() + body.len();
+        (held <= self.budget.bytes).then(|| {
+            self.held.set(held);
+            Carried { trigger, txn, token, body, held: self.held.clone() }
+        })
+    }
+
+    pub fn sizes(&self) -> Sizes {
+        let (pools, lines, jobs) = (self.pools.len(), self.open.get(), self.jobs.len());
+        Sizes { pools, lines, jobs, clients: 0, bytes: self.held.get() }
+    }
+
+    /// Lets go of idle lines that the invoker would soon close, of those that are broken, and of pools that are gone.
+    pub fn sweep(&mut self, now: Tenths) {
+        let most = self.conn_idle * IDLE_SHARE.0 / IDLE_SHARE.1;
+        for p in self.pools.values_mut() {
+            p.idle.retain(|(since, line)| now < since + most && line.is_reusable());
+        }
+        self.pools.retain(|_, p| p.life != Life::Gone || p.under_way > 0);
+    }
+
+    /// Makes room for one more line: the idle line that was idle longest goes, wherever it leads.
+    fn room(&mut self) -> bool {
+        if self.open.get() < self.budget.lines {
+            return true;
+        }
+        let longest = self.pools.iter().filter_map(|(w, p)| Some((p.idle.first()?.0, *w))).min();
+        let Some(pool) = longest.and_then(|(_, w)| self.pools.get_mut(&w)) else { return false };
+        pool.idle.remove(0);
+        self.open.get() < self.budget.lines
+    }
+
+    /// Starts a request. `Err`: it never left.
+    fn start(
+        &mut self,
+        now: Tenths,
+        invoker: InvokerId,
+        of: Of,
+        request: Request<Full<Bytes>>,
+        body: usize,
+    ) -> Result<u64, Outcome> {
+        let most = self.conn_idle * IDLE_SHARE.0 / IDLE_SHARE.1;
+        let new_work = !matches!(of, Of::Order { new_work: false } | Of::Aside);
+        let pool = self.pools.get_mut(&invoker).ok_or(Outcome::NoConnection)?;
+        if new_work && now >= pool.cutoff.get() {
+            return Err(Outcome::NotSent);
+        }
+        let mut line = None;
+        while let Some((since, idle)) = pool.idle.pop() {
+            if now < since + most && idle.is_reusable() {
+                line = Some(idle);
+                break;
+            }
+        }
+        if line.is_none() && !self.room() {
+            debug!(invoker, "no descriptor is left for a connection");
+            return Err(Outcome::NotSent);
+        }
+        let front = self.front.upgrade().ok_or(Outcome::NotSent)?;
+        let pool = self.pools.get_mut(&invoker).ok_or(Outcome::NoConnection)?;
+        pool.under_way += 1;
+        self.last += 1;
+        let cutoff = if new_work { pool.cutoff.clone() } else { Rc::new(Cell::new(Tenths::MAX)) };
+        let ask = Ask {
+            front,
+            invoker,
+            job: self.last,
+            address: Address::Tcp(pool.address.to_string()),
+            within: self.connect_timeout,
+            open: self.open.clone(),
+            cutoff,
+            request,
+            body,
+        };
+        let socket = line.as_ref().map(|l| l.socket.clone());
+        let task = match of {
+            Of::Dispatch { inv, hop } => tokio::task::spawn_local(dispatch(ask, line, inv, hop)),
+            Of::Order { .. } => tokio::task::spawn_local(order(ask, line)),
+            Of::Aside => tokio::task::spawn_local(aside(ask, line)),
+        };
+        self.jobs.insert(self.last, Job { invoker, of, socket, task: task.abort_handle() });
+        Ok(self.last)
+    }
+
+    /// A request has come to its end by itself: false when it was given up before.
+    fn finish(&mut self, job: u64) -> bool {
+        let Some(job) = self.jobs.remove(&job) else { return false };
+        if let Some(pool) = self.pools.get_mut(&job.invoker) {
+            pool.under_way -= 1;
+        }
+        true
+    }
+
+    /// Gives a request up: its connection is closed at once.
+    fn give_up(&mut self, job: u64) {
+        let Some(job) = self.jobs.remove(&job) else { return };
+        if let Some(pool) = self.pools.get_mut(&job.invoker) {
+            pool.under_way -= 1;
+        }
+        if let Some(socket) = job.socket {
+            socket.close();
+        }
+        job.task.abort();
+    }
+
+    fn put_back(&mut self, now: Tenths, invoker: InvokerId, line: Line) {
+        if let Some(pool) = self.pools.get_mut(&invoker).filter(|p| p.life != Life::Gone) {
+            pool.idle.push((now, line));
+        }
+    }
+}
+
+impl Reach for Lines {
+    type Carried = Carried;
+    type Owed = Reply;
+    type Seat = Seat;
+
+    fn dispatch(&mut self, s: &Sending<Carried>) -> Result<u64, Outcome> {
+        let c = s.carried;
+        let method = if c.body.is_empty() { "GET" } else { "POST" };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("/obj/{}", self.trigger_names[c.trigger]))
+            .header("host", "invoker")
+            .header(http::TXN, format!("{:016x}", c.txn))
+            .header(http::FUNCTION, format!("{:016x}", s.function))
+            .header(http::LIMIT_MS, (s.until.saturating_sub(s.now) / MILLI).max(1).to_string());
+        if let Some(token) = &c.token {
+            request = request.header(http::TOKEN, token);
+        }
+        if !c.body.is_empty() {
+            request = request.header("content-length", c.body.len());
+        }
+        let request = request.body(Full::new(c.body.clone())).map_err(|_| Outcome::NotSent)?;
+        self.start(s.now, s.invoker, Of::Dispatch { inv: s.inv, hop: s.hop }, request, c.body.len())
+    }
+
+    fn withdraw(&mut self, _: InvokerId, dispatch: u64) -> bool {
+        let Some(job) = self.jobs.get(&dispatch) else { return false };
+        let never = job.socket.as_ref().is_none_or(|s| !s.left_whole());
+        if never {
+            self.give_up(dispatch);
+        }
+        never
+    }
+
+    fn cancel(&mut self, _: InvokerId, dispatch: u64) {
+        self.give_up(dispatch);
+    }
+
+    fn ended(&mut self, _: InvokerId, dispatch: u64, _: &Carried, _: Outcome, _: &Told) {
+        self.give_up(dispatch);
+    }
+
+    fn hold(&mut self, now: Tenths, invoker: InvokerId, function: FnId, count: u8) -> Option<u64> {
+        let uri = format!("{}/{count}", http::function_path(function));
+        let request = Request::builder().method("PUT").uri(uri).header("host", "invoker");
+        let request = request.body(Full::default()).ok()?;
+        self.start(now, invoker, Of::Order { new_work: count > 0 }, request, 0).ok()
+    }
+
+    fn held(&mut self, _: InvokerId, order: u64) {
+        self.give_up(order);
+    }
+
+    fn unload(&mut self, now: Tenths, invoker: InvokerId, function: FnId) {
+        let request = Request::builder().method("DELETE").uri(http::function_path(function));
+        if let Ok(request) = request.header("host", "invoker").body(Full::default()) {
+            let _ = self.start(now, invoker, Of::Aside, request, 0);
+        }
+    }
+
+    fn probe(&mut self, now: Tenths, invoker: InvokerId) {
+        let request = Request::builder().uri("/busy").header("host", "invoker");
+        if let Ok(request) = request.body(Full::default()) {
+            let _ = self.start(now, invoker, Of::Aside, request, 0);
+        }
+    }
+}
+
+/// One request on its way.
+struct Ask {
+    front: Rc<Front>,
+    invoker: InvokerId,
+    job: u64,
+    address: Address,
+    within: Duration,
+    open: Rc<Cell<usize>>,
+    cutoff: Rc<Cell<Tenths>>,
+    request: Request<Full<Bytes>>,
+    body: usize,
+}
+
+/// A request's end: the answer and its line, or whether it may have run and what went wrong.
+enum End {
+    Answered(Whole, Line),
+    NeverLeft(String),
+    Lost(String),
+}
+
+impl Ask {
+    async fn dial(&self) -> Result<Line, String> {
+        let counted = Counted::new(&self.open);
+        let dialled = tokio::time::timeout(self.within, self.front.network.dial(&self.address)).await;
+        let stream = match dialled {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(e.to_string()),
+            Err(_) => return Err(format!("no connection within {} ms", self.within.as_millis())),
+        };
+        let stream = Box::new(Held { stream, _counted: counted });
+        let line = Line::over(stream, self.front.clock).await.map_err(|e| e.to_string())?;
+        let socket = line.socket.clone();
+        self.front.tell(|state| {
+            if let Some(job) = state.desk.reach.jobs.get_mut(&self.job) {
+                job.socket = Some(socket);
+            }
+        });
+        Ok(line)
+    }
+
+    /// Goes over `line`, or a new one where there is none or it breaks before the request has left whole.
+    async fn go(&self, line: Option<Line>, most: usize) -> End {
+        if let Some(line) = line {
+            match self.over(line, most).await {
+                End::NeverLeft(why) => debug!(invoker = self.invoker, why, "an idle line was broken"),
+                end => return end,
+            }
+        }
+        match self.dial().await {
+            Ok(line) => self.over(line, most).await,
+            Err(why) => End::NeverLeft(why),
+        }
+    }
+
+    async fn over(&self, mut line: Line, most: usize) -> End {
+        match line.ask(self.request.clone(), self.body, self.cutoff.clone(), most).await {
+            Ok(whole) => End::Answered(whole, line),
+            Err(why) if line.socket.left_whole() => End::Lost(why),
+            Err(why) => End::NeverLeft(why),
+        }
+    }
+}
+
+async fn dispatch(ask: Ask, line: Option<Line>, inv: InvId, hop: u8) {
+    let (invoker, job) = (ask.invoker, ask.job);
+    let mut told = Told::default();
+    let (outcome, line) = match ask.go(line, frames::OUTPUT_MOST).await {
+        End::Answered(whole, line) => {
+            let notes = http::notes(|name| whole.field(name));
+            let outcome = http::outcome(whole.status, |name| whole.field(name));
+            let output = whole.body;
+            told = Told { found: notes.found, crowd: notes.crowd, report: notes.report, output };
+            (outcome, Some(line))
+        }
+        End::NeverLeft(why) => {
+            debug!(invoker, inv, why, "never left");
+            (Outcome::NoConnection, None)
+        }
+        End::Lost(why) => {
+            info!(invoker, inv, why, "an answer was lost");
+            (Outcome::Reset, None)
+        }
+    };
+    ask.front.tell(|state| {
+        if !state.desk.reach.finish(job) {
+            return;
+        }
+        if let Some(line) = line {
+            state.desk.reach.put_back(state.desk.now, invoker, line);
+        }
+        state.ended(inv, hop, outcome, &told);
+    });
+}
+
+async fn order(ask: Ask, line: Option<Line>) {
+    let (invoker, job) = (ask.invoker, ask.job);
+    let (outcome, standing, line) = match ask.go(line, SMALL_ANSWER).await {
+        End::Answered(whole, line) => {
+            let standing = http::notes(|name| whole.field(name)).standing;
+            (http::held(whole.status, |name| whole.field(name)), standing, Some(line))
+        }
+        End::NeverLeft(why) | End::Lost(why) => {
+            debug!(invoker, why, "an order was lost");
+            (HoldOutcome::Unreachable, 0, None)
+        }
+    };
+    ask.front.tell(|state| {
+        if !state.desk.reach.finish(job) {
+            return;
+        }
+        if let Some(line) = line {
+            state.desk.reach.put_back(state.desk.now, invoker, line);
+        }
+        state.held(invoker, job, outcome, standing);
+    });
+}
+
+/// What no one waits for: to unload, and probes.
+async fn aside(ask: Ask, line: Option<Line>) {
+    let (invoker, job) = (ask.invoker, ask.job);
+    let end = tokio::time::timeout(ASIDE_MOST, ask.go(line, SMALL_ANSWER)).await;
+    ask.front.tell(|state| {
+        let reach = &mut state.desk.reach;
+        if let (true, Ok(End::Answered(_, line))) = (reach.finish(job), end) {
+            reach.put_back(state.desk.now, invoker, line);
+        }
+    });
+}
+
+/// What the feed says reaches the pools first, so that nothing the module then does meets an old one.
+pub(crate) fn told(
+    state: &mut State,
+    whole: bool,
+    lines: &[Listing],
+    started: impl Fn(u64) -> Tenths,
+    grace: Tenths,
+) {
+    let (now, reach) = (state.desk.now, &mut state.desk.reach);
+    let mut cut = Vec::new();
+    if whole {
+        for (w, p) in &mut reach.pools {
+            if p.life != Life::Gone && !lines.iter().any(|l| l.invoker == *w) {
+                p.life = Life::Gone;
+                p.idle.clear();
+                cut.push(*w);
+            }
+        }
+    }
+    for l in lines {
+        if l.life == Life::Gone && !reach.pools.contains_key(&l.invoker) {
+            continue;
+        }
+        let pool = reach.pools.entry(l.invoker).or_insert_with(|| Pool {
+            address: l.address,
+            life: l.life,
+            cutoff: Rc::new(Cell::new(Tenths::MAX)),
+            idle: Vec::new(),
+            under_way: 0,
+        });
+        if pool.address != l.address || l.life == Life::Gone {
+            pool.idle.clear();
+        }
+        (pool.address, pool.life) = (l.address, l.life);
+        if l.life == Life::Ready {
+            pool.cutoff.set(Tenths::MAX);
+        } else {
+            cut.push(l.invoker);
+        }
+    }
+    let listed: Vec<Listed> = lines.iter().map(|l| l.listed(l.started_ms.map(&started))).collect();
+    state.module.listed(now, whole, &listed);
+    for invoker in cut {
+        // Half the grace is for the way and for what has begun to leave.
+        let at = now + grace / 2;
+        if let Some(pool) = state.desk.reach.pools.get(&invoker) {
+            pool.cutoff.set(pool.cutoff.get().min(at));
+        }
+        state.desk.later(at, Box::new(move |state| cut_off(state, invoker)));
+    }
+}
+
+/// The time of a pool's cutoff has come: what has not begun to leave never will.
+fn cut_off(state: &mut State, invoker: InvokerId) {
+    let (now, reach) = (state.desk.now, &state.desk.reach);
+    if reach.pools.get(&invoker).is_none_or(|p| now < p.cutoff.get()) {
+        return;
+    }
+    let waits = |job: &&Job| job.invoker == invoker && job.socket.as_ref().is_none_or(|s| !s.has_begun());
+    let mut dispatches = Vec::new();
+    let mut orders = Vec::new();
+    for (n, job) in reach.jobs.iter().filter(|(_, job)| waits(job)) {
+        match job.of {
+            Of::Dispatch { inv, hop } => dispatches.push((inv, hop)),
+            Of::Order { new_work: true } => orders.push(*n),
+            Of::Order { .. } | Of::Aside => {}
+        }
+    }
+    dispatches.into_iter().for_each(|(inv, hop)| state.ended(inv, hop, Outcome::NotSent, &Told::default()));
+    orders.into_iter().for_each(|n| state.held(invoker, n, HoldOutcome::Unreachable, 0));
+}
+
+/// A stream that counts against the budget until it is closed.
+struct Held {
+    stream: saltdrum_link::Stream,
+    _counted: Counted,
+}
+
+mod passes {
+    use super::Held;
+    use std::io;
+    use std::pin::Pin;
+    use std::task::{Context, Poll};
+    use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+    impl AsyncRead for Held {
+        fn poll_read(
+            mut self: Pin<&mut Self>,
+            cx: &mut Context<'_>,
+            b: &mut ReadBuf<'_>,
+        ) -> Poll<io::Result<()>> {
+            Pin::new(&mut self.stream).poll_read(cx, b)
+        }
+    }
+
+    impl AsyncWrite for Held {
+        fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &[u8]) -> Poll<io::Result<usize>> {
+            Pin::new(&mut self.stream).poll_write(cx, b)
+        }
+        fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Pin::new(&mut self.stream).poll_flush(cx)
+        }
+        fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Pin::new(&mut self.stream).poll_shutdown(cx)
+        }
+    }
+}
--- a/crates/wirehost/src/info.rs
+++ b/crates/stated/src/lib.rs
@@ -1,38 +1,63 @@
-//! The deployment as the first message of an instance states it.
+//! The deployment as it is stated at start, value by value: by the first message of an instance on the simulator's wire,
+//! by the configuration of a real controller. One mapping for both, so that the module meets the same deployment.
 
-use crate::codec::{Fault, tenths};
 use saltdrum::port::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+/// Which value is missing or wrong, and what was expected.
+pub type Fault = String;
+
 pub struct Stated {
     pub deployment: Deployment,
     /// Names of the values in a load report, in order.
     pub report: Vec<String>,
 }
 
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+/// Whole tenths of a millisecond, rounded down, so that a deadline never moves out.
+pub fn tenths(ms: f64) -> Tenths {
+    // The wire's own unit is the microsecond; a sum of such steps may fall a hair short of a tenth.
+    (ms * 10.0 + 1e-4).floor() as u64
+}
+
+/// Stated values by their path, as in `classes.0.aim_ms`.
+pub struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    /// Reads lines of `path=value`.
+    pub fn of_lines(text: &'a str) -> Result<Self, Fault> {
+        let mut pairs = BTreeMap::new();
+        for (n, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+            let (path, value) =
+                line.split_once('=').ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
+            pairs.insert(path.trim(), value.trim());
+        }
+        Ok(Self(pairs))
+    }
+
+    pub fn of(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
+        Self(pairs.into_iter().collect())
+    }
 
-impl Pairs<'_> {
-    fn text(&self, path: &str) -> Result<&str, Fault> {
+    pub fn text(&self, path: &str) -> Result<&str, Fault> {
         self.0.get(path).copied().ok_or_else(|| format!("setting {path}: missing"))
     }
 
-    fn value<T: FromStr>(&self, path: &str) -> Result<T, Fault> {
+    pub fn value<T: FromStr>(&self, path: &str) -> Result<T, Fault> {
         let text = self.text(path)?;
         text.parse().map_err(|_| format!("setting {path}: cannot read '{text}'"))
     }
 
-    fn number(&self, path: &str) -> Result<f64, Fault> {
+    pub fn number(&self, path: &str) -> Result<f64, Fault> {
         let n: f64 = self.value(path)?;
         if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(format!("setting {path}: cannot be {n}")) }
     }
 
-    fn time(&self, path: &str) -> Result<Tenths, Fault> {
+    pub fn time(&self, path: &str) -> Result<Tenths, Fault> {
         self.number(path).map(tenths)
     }
 
-    fn list(&self, path: &str) -> Vec<&str> {
+    pub fn list(&self, path: &str) -> Vec<&str> {
         let text = self.0.get(path).copied().unwrap_or_default();
         text.split(',').map(str::trim).filter(|s| !s.is_empty()).collect()
     }
@@ -60,15 +85,8 @@
     }
 }
 
-pub fn read(info: &[u8]) -> Result<Stated, Fault> {
-    let text =
-        std::str::from_utf8(info).map_err(|e| format!("settings: not UTF-8 at byte {}", e.valid_up_to()))?;
-    let mut pairs = Pairs(BTreeMap::new());
-    for (n, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
-        let (path, value) = line.split_once('=').ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
-        pairs.0.insert(path.trim(), value.trim());
-    }
-    let p = &pairs;
+/// Makes the deployment of what is stated.
+pub fn read(p: &Pairs) -> Result<Stated, Fault> {
     // Counts are walked entry by entry, each of which must be there, so a false one ends at the first gap.
     let types: usize = p.value("classes.count")?;
     let tenants: usize = if p.0.contains_key("realms.count") { p.value("realms.count")? } else { 0 };
--- a/crates/wirehost/src/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -1,5 +1,6 @@
 //! Frames and fields of the wire. Nothing here trusts a length before the bytes are there.
 
+pub use saltdrum_stated::tenths;
 use std::io::{self, ErrorKind, Read};
 
 pub type Fault = String;
@@ -55,12 +56,6 @@
     }
 }
 
-/// Whole tenths of a millisecond, rounded down, so that a deadline never moves out.
-pub fn tenths(ms: f64) -> u64 {
-    // The wire's own unit is the microsecond; a sum of such steps may fall a hair short of a tenth.
-    (ms * 10.0 + 1e-4).floor() as u64
-}
-
 pub fn millis(tenths: u64) -> f64 {
     tenths as f64 / 10.0
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,9 +1,9 @@
 //! Hosts controllers: reads records straight into calls, writes answers straight as records.
 
 use crate::codec::{Fault, Fields, Reply};
-use crate::info::{self, Stated};
 use saltdrum::Controller;
 use saltdrum::port::*;
+use saltdrum_stated::{Pairs, Stated};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
@@ -82,7 +82,10 @@
         if code == 11 {
             let seed = f.u64("seed")?;
             let n = f.u32("length of info")?;
-            let Stated { deployment, report } = info::read(f.take(n as usize, "info")?)?;
+            let info = f.take(n as usize, "info")?;
+            let text = std::str::from_utf8(info)
+                .map_err(|e| format!("settings: not UTF-8 at byte {}", e.valid_up_to()))?;
+            let Stated { deployment, report } = saltdrum_stated::read(&Pairs::of_lines(text)?)?;
             let trigger_types = deployment.trigger_types.len();
             let controller = self.guard(id, |w| Controller::new(now, deployment, seed, w));
             if let Some(controller) = controller {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,7 +2,6 @@
 
 mod codec;
 mod host;
-mod info;
 
 use codec::Fault;
 use std::io::{Write, stdin, stdout};
