Ration counts functions that ran; one broken connection is no death

Log of requests: strangers send 200 well-formed requests at a time for functions no invoker knows, and take them back; the module's 'taken' counted them (decide.rs, invoked: taken.push_back). Ruled out: duplicates and malformed frames, which never reach the module. Now a function counts from its first success on, backdated to that invocation's arrival. Second: Outcome::Reset shut the invoker and forgot its copies at a single broken connection; on sockets one connection is one request. Now Reset counts like an error; a death shows by several, or by the next connect refused. Tests: cases.rs, both.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -147,6 +147,7 @@
     memory: f64,
     load_told: Option<f64>,
     load_seen: f64,
+    proven: bool,   // An invoker has run it: what strangers ask for may be no function at all
     members: usize, // Members wanted, and since when fewer would do
     surplus_since: Option<Tenths>,
     order: Vec<InvokerId>,
@@ -300,7 +301,6 @@
 
     pub fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
         self.turn(now);
-        self.taken.push_back(now);
         let run = self.rows[call.trigger].run.clone();
         let new = Function { trigger: call.trigger, called: now, members: 1, run, ..Default::default() };
         let f = self.functions.entry(call.function).or_insert(new);
@@ -309,6 +309,8 @@
         }
         (f.called, f.lanes, f.memory) = (now, call.lanes, call.memory);
         f.load_told = call.load_hint.map(|l| l as f64);
+        // Rule 5 counts what clients may ask for. Who asks for no function at all must not widen the ration.
+        self.taken.extend(f.proven.then_some(now));
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
         let (id, tried) = (call.id, Vec::new());
         let new = Inv { call, arrived: now, out: None, hops: 0, may_have_run: None, tried, done: false };
@@ -410,7 +412,12 @@
         }
         inv.tried.extend((a.outcome != Outcome::Miss).then_some(d.invoker));
         inv.done |= a.finished;
-        let call = inv.call.clone();
+        let (call, came) = (inv.call.clone(), inv.arrived);
+        let f = self.functions.get_mut(&call.function).filter(|_| a.outcome == Outcome::Succeeded);
+        if f.is_some_and(|f| !std::mem::replace(&mut f.proven, true)) {
+            let at = self.taken.partition_point(|at| *at <= came);
+            self.taken.insert(at, came);
+        }
         self.learn(&call, &d, &a);
         (d.next)(self, acts);
     }
@@ -444,7 +451,8 @@
             v.busy = (((u - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0), now);
             self.busy += 0.05 * (v.busy.0 - self.busy);
         }
-        v.errors += 0.2 * (f64::from(a.outcome == Outcome::Errored) - v.errors);
+        let ill = matches!(a.outcome, Outcome::Errored | Outcome::Reset);
+        v.errors += 0.2 * (f64::from(ill) - v.errors);
         match a.outcome {
             Outcome::Succeeded => {
                 (v.shut_until, v.shut_for) = (0, 0);
@@ -466,15 +474,16 @@
                 }
                 (p.warm, p.loading) = (true, None);
             }
+            // A connection may break alone; where a process died, all break, or the next is refused.
+            Outcome::Reset if v.errors > ERRORS_ILL => {
+                v.shut(now);
+                self.forget_copies(w);
+            }
             Outcome::Errored if v.errors > ERRORS_ILL => v.shut(now),
             Outcome::Miss => (p.warm, p.loading, p.lacks_until) = (false, None, now + LACKS),
             Outcome::NoConnection => v.shut(now),
             // Left out, an overload would be told by the answers that still come.
             Outcome::TimedOut => self.slow = (follow(fleet, true).min(SLOW_MOST), now),
-            Outcome::Reset => {
-                v.shut(now);
-                self.forget_copies(w);
-            }
             Outcome::Full => {
                 let (streak, until) = v.refused.entry(key).or_default();
                 (*until, *streak) = (now + (SHUT_FIRST << (*streak).min(5)).min(SHUT_MOST), *streak + 1);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -101,6 +101,42 @@
     assert_eq!(bed.k.holds.len(), 5);
 }
 
+/// Found as broken rations on sockets: strangers asked for functions that no invoker knows, 200 at a time.
+#[test]
+fn what_no_invoker_ever_ran_widens_no_ration() {
+    let mut d = deployment();
+    (d.misses, d.order_window, d.orders_free, d.orders_share) = (true, 5 * SECOND, 3.0, 0.1);
+    let mut bed = Bed::new(d, 6);
+    for function in 0..200 {
+        let id = bed.invoke(0, 1_000 + function, 4 * SECOND);
+        bed.k.strange(id);
+        if !bed.k.invs[&id].sent.is_empty() {
+            bed.answer(id, 0, Outcome::Miss, None);
+        }
+        bed.leave(id);
+    }
+    assert!(bed.k.ordered.len() <= 3, "{}", bed.k.ordered.len());
+}
+
+/// Found on sockets: one spoilt connection shut a sound invoker and made all its copies forgotten.
+#[test]
+fn one_broken_connection_is_no_death_and_several_are() {
+    let mut bed = Bed::new(deployment(), 1);
+    traffic(&mut bed, 1, 20, 1);
+    let id = bed.invoke(0, 1, 4 * SECOND);
+    bed.answer(id, 0, Outcome::Reset, None);
+    let next = bed.invoke(0, 1, 4 * SECOND);
+    assert_eq!(bed.k.invs[&next].sent.len(), 1, "it is sent there still");
+    for _ in 0..4 {
+        let id = bed.invoke(0, 1, 4 * SECOND);
+        if !bed.k.invs[&id].sent.is_empty() {
+            bed.answer(id, 0, Outcome::Reset, None);
+        }
+    }
+    let last = bed.invoke(0, 1, 4 * SECOND);
+    assert!(bed.k.invs[&last].sent.is_empty(), "nothing is sent to one that is dead");
+}
+
 /// Found as a lost invocation: the wait for the order ration ended after the client timeout.
 #[test]
 fn waiting_for_the_ration_ends_before_the_client_timeout() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -46,6 +46,12 @@
 }
 
 impl Checker {
+    /// It asks for what is no function: rule 5 does not count it.
+    pub fn strange(&mut self, id: InvId) {
+        assert!(self.invs.contains_key(&id), "the one taken last");
+        self.taken.pop();
+    }
+
     fn may_be_told(&self, w: InvokerId) {
         let (listed, told) = &self.list[&w];
         let late = listed.life != Life::Ready && self.now > told + self.stated.drain_grace;
