--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,213 @@
+//! `saltdrum node` as the platform runs it: a process, its file, its signals, its exit codes.
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Long past any wait of a sound run; only a broken one meets it.
+const LONG: Duration = Duration::from_secs(20);
+
+fn saltdrum(config: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_saltdrum"));
+    command.arg("node").env("RELAY_CONFIG", config).env_remove("RELAY_LISTEN").env_remove("RELAY_NAME");
+    command
+}
+
+/// A process that ends with the test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Running {
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
+    }
+}
+
+/// An invoker that answers each request after a while, and counts them.
+fn invoker(takes: Duration) -> String {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = door.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in door.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                let mut read = Vec::new();
+                let mut bytes = [0; 4_096];
+                while let Ok(n @ 1..) = stream.read(&mut bytes) {
+                    read.extend_from_slice(&bytes[..n]);
+                    if read.ends_with(b"\r\n\r\n") {
+                        read.clear();
+                        std::thread::sleep(takes);
+                        let _ = stream.write_all(
+                            b"HTTP/1.1 200 OK\r\nX-How: resident\r\nX-Units: 1\r\nContent-Length: 4\r\n\r\ndone",
+                        );
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+/// A feed with nothing to tell; says which numbers it was asked from.
+fn feed() -> (String, mpsc::Receiver<u64>) {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (at, (told, asked)) = (door.local_addr().unwrap().to_string(), mpsc::channel());
+    std::thread::spawn(move || {
+        for stream in door.incoming() {
+            let (mut stream, told) = (stream.unwrap(), told.clone());
+            std::thread::spawn(move || {
+                let mut last = [0; 8];
+                stream.read_exact(&mut last).unwrap();
+                let _ = told.send(u64::from_be_bytes(last));
+                let empty = [&9u32.to_be_bytes()[..], &last, &[0]].concat();
+                while stream.write_all(&empty).is_ok() {
+                    std::thread::sleep(Duration::from_millis(500));
+                }
+            });
+        }
+    });
+    (at, asked)
+}
+
+fn configuration(listen: &str, feed: &str, invoker: &str) -> Value {
+    json!({
+        "name": "n1", "listen": listen, "seed": "8c1f30d27a5be964", "feed": feed,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"n": 1, "events": [{"n": 1, "members": {"revision": 1, "complete": true, "members": [
+            {"id": "s-00000001", "host_port": invoker, "locality": "a", "flavor": "std", "cell": 0, "phase": "up",
+             "size": 4, "up_since_ms": 0}]}}]},
+        "settings": {
+            "balancers": 1, "zone": 0, "zones": "a", "kinds": "std", "over_share_worth": 0.1, "tick_ms": 2.0,
+            "classes": [{"name": "look", "aim_ms": 4000.0, "give_up_ms": 8000.0, "effect": "safe", "key_scope": "all",
+                "repeat_window_ms": 2000.0, "worth": 1.0, "late_share": 0.2}],
+            "bounds": {"cancel": true, "connect_timeout_ms": 250.0, "conn_idle_ms": 15000.0, "max_retry_after_ms": 500.0,
+                "parallel_tries": false, "probing": true, "retry_after": true, "try_limit": 3},
+            "family_info": {"kind_memory_mb": "42000.0", "linger_idle_ms": 9000.0, "load_share": 0.1,
+                "load_wait_ms": 10000.0, "load_window_ms": 5000.0, "loads_anyway": 3.0, "may_order": true,
+                "not_loaded": "miss"},
+            "rules": {"drain_grace_ms": 250.0, "cold_from": 0.3, "cold_ms": 8000.0, "overload_factor": 2.0,
+                "tip_after_ms": 3000.0}
+        }
+    })
+}
+
+fn write(folder: &Path, text: &str) -> PathBuf {
+    let path = folder.join("config.json");
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn ask(stream: u32, txn: u64) -> Vec<u8> {
+    let mut payload = vec![4];
+    let txn = format!("{txn:016x}");
+    for (name, value) in [("verb", "look"), ("txn", &txn), ("limit", "7000"), ("item", "00000000000000f1")] {
+        payload.push(name.len() as u8);
+        payload.extend(name.as_bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.as_bytes());
+    }
+    [&(payload.len() as u32 + 5).to_be_bytes()[..], &[16], &stream.to_be_bytes(), &payload].concat()
+}
+
+/// The next frame: its type, its stream and its payload.
+fn hear(stream: &mut TcpStream) -> (u8, u32, Vec<u8>) {
+    let mut head = [0; 9];
+    stream.read_exact(&mut head).unwrap();
+    let length = u32::from_be_bytes(head[..4].try_into().unwrap()) as usize;
+    let mut payload = vec![0; length - 5];
+    stream.read_exact(&mut payload).unwrap();
+    (head[4], u32::from_be_bytes(head[5..].try_into().unwrap()), payload)
+}
+
+fn dial(at: &str) -> TcpStream {
+    loop {
+        if let Ok(stream) = TcpStream::connect(at) {
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            return stream;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+#[test]
+fn a_bad_file_ends_it_with_a_line_that_names_the_field() {
+    let folder = tempfile::tempdir().unwrap();
+    let good = configuration(&free_address(), "127.0.0.1:1", "127.0.0.1:2");
+    let bad = |change: fn(&mut Value)| {
+        let mut config = good.clone();
+        change(&mut config);
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "JSON is expected"),
+        (bad(|c| c["feed"] = json!("nowhere")), "feed: nowhere: ADDRESS:PORT is expected"),
+        (bad(|c| c["limits"]["sockets"] = json!(-1)), "limits.sockets: -1"),
+        (bad(|c| c["settings"]["classes"][0]["effect"] = json!("odd")), "classes.0.effect"),
+        (
+            bad(|c| c["known"]["events"][0]["members"]["members"][0]["phase"] = json!("odd")),
+            "up, draining or removed",
+        ),
+    ];
+    for (text, expected) in cases {
+        let done = saltdrum(&write(folder.path(), &text)).output().unwrap();
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert_eq!(done.status.code(), Some(2), "{said}");
+        assert!(said.contains(expected), "'{said}' for '{expected}'");
+    }
+    let done = saltdrum(&write(folder.path(), &good.to_string())).env("RELAY_LISTEN", "127.0.0.1:1").output();
+    assert!(String::from_utf8_lossy(&done.unwrap().stderr).contains("RELAY_LISTEN 127.0.0.1:1"));
+}
+
+#[test]
+fn it_serves_reads_its_file_again_and_ends_when_all_is_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, invoker) = (free_address(), invoker(Duration::from_millis(400)));
+    let ((feed_one, asked_one), (feed_two, asked_two)) = (feed(), feed());
+    let config = write(folder.path(), &configuration(&listen, &feed_one, &invoker).to_string());
+    let mut running = Running(saltdrum(&config).stdout(Stdio::null()).spawn().unwrap());
+    let mut client = dial(&listen);
+    client.write_all(&[0, 0, 0, 5, 32, 0, 0, 0, 9]).unwrap();
+    assert_eq!(hear(&mut client), (33, 9, vec![79, 0]));
+    assert_eq!(asked_one.recv_timeout(LONG).unwrap(), 1);
+
+    client.write_all(&ask(10, 1)).unwrap();
+    assert_eq!(hear(&mut client), (17, 10, [&[79, 0][..], b"done"].concat()));
+
+    // Half a file changes nothing; a whole one moves the feed. An invocation under way is not harmed by either.
+    client.write_all(&ask(11, 2)).unwrap();
+    write(folder.path(), "{\"feed\":");
+    running.signal(Signal::HUP);
+    std::thread::sleep(Duration::from_millis(50));
+    write(folder.path(), &configuration(&listen, &feed_two, &invoker).to_string());
+    running.signal(Signal::HUP);
+    assert_eq!(asked_two.recv_timeout(LONG).unwrap(), 1);
+    assert_eq!(hear(&mut client), (17, 11, [&[79, 0][..], b"done"].concat()));
+
+    // What is under way at SIGTERM is answered, and what still comes after it.
+    client.write_all(&ask(12, 3)).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    running.signal(Signal::TERM);
+    assert_eq!(hear(&mut client), (48, 0, vec![]));
+    running.signal(Signal::TERM);
+    let mut late = dial(&listen);
+    late.write_all(&ask(1, 4)).unwrap();
+    assert_eq!(hear(&mut client).1, 12);
+    assert_eq!(hear(&mut late), (17, 1, [&[79, 0][..], b"done"].concat()));
+    assert_eq!(running.0.wait().unwrap().code(), Some(0));
+}
--- a/crates/controller/src/decides.rs
+++ b/crates/controller/src/decides.rs
@@ -12,6 +12,10 @@
     fn answered(&mut self, now: Tenths, a: Answer, acts: &mut dyn Acts);
     fn held(&mut self, now: Tenths, a: HoldAnswer, acts: &mut dyn Acts);
     fn woken(&mut self, now: Tenths, token: u64, acts: &mut dyn Acts);
+    /// What is believed of the invokers, where the like is kept.
+    fn beliefs(&self, _now: Tenths) -> Vec<Belief> {
+        Vec::new()
+    }
 }
 
 /// Puts up whoever decides, as `saltdrum::Controller::new` does.
@@ -41,6 +45,9 @@
     fn woken(&mut self, now: Tenths, token: u64, acts: &mut dyn Acts) {
         Self::woken(self, now, token, acts);
     }
+    fn beliefs(&self, now: Tenths) -> Vec<Belief> {
+        Self::beliefs(self, now)
+    }
 }
 
 /// How a baseline picks one of the invokers that are ready.
--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -71,8 +71,8 @@
     fn dispatch(&mut self, sending: &Sending<Self::Carried>) -> Result<u64, Outcome>;
     /// Takes back what provably never ran because it has not left. False: it may have run.
     fn withdraw(&mut self, invoker: InvokerId, dispatch: u64) -> bool;
-    /// Nobody waits for it any more.
-    fn cancel(&mut self, invoker: InvokerId, dispatch: u64);
+    /// Nobody waits for it any more. True: nothing more will be heard of it.
+    fn cancel(&mut self, invoker: InvokerId, dispatch: u64) -> bool;
     /// It has ended, one way or another.
     fn ended(
         &mut self,
@@ -342,8 +342,10 @@
         for (hop, invoker, dispatch) in out {
             if desk.reach.withdraw(invoker, dispatch) {
                 desk.after(Box::new(move |state| state.ended(id, hop, Outcome::NotSent, &Told::default())));
-            } else if desk.may_cancel {
-                desk.reach.cancel(invoker, dispatch);
+            } else if desk.may_cancel && desk.reach.cancel(invoker, dispatch) {
+                // Left to its time-out, it would look as if the invoker were late.
+                let told = Told::default();
+                desk.after(Box::new(move |state| state.ended(id, hop, Outcome::Cancelled, &told)));
             }
         }
         self.module.left(self.desk.now, id);
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -117,10 +117,12 @@
         self.links.get_mut(&invoker).is_some_and(|link| link.withdraw(dispatch))
     }
 
-    fn cancel(&mut self, invoker: InvokerId, dispatch: u64) {
+    fn cancel(&mut self, invoker: InvokerId, dispatch: u64) -> bool {
         if let Some(link) = self.links.get_mut(&invoker) {
             link.cancel(dispatch);
         }
+        // The invoker answers what came of it.
+        false
     }
 
     fn ended(&mut self, invoker: InvokerId, dispatch: u64, carried: &Carried, outcome: Outcome, told: &Told) {
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: binary frames. A client that lies, floods or says nothing suffers alone.
 
-use crate::reach::{Front, Lines, State};
+use crate::reach::{Front, State};
 use saltdrum::port::{InvId, Invocation, MILLI, SECOND, Tenths};
 use saltdrum_controller::desk::{Final, Owed};
 use saltdrum_link::{Half, Listener, Outbox, Read, Stream, halves};
@@ -24,6 +24,8 @@
 /// Clients close a connection that long idle themselves, well before this.
 const IDLE_MOST: Tenths = 6 * SECOND;
 const SWEEP_EVERY: Duration = Duration::from_millis(200);
+/// In rounds of the sweep.
+const BELIEFS_EVERY: u64 = 5;
 /// For the last words to a client that is cut off.
 const LAST_WORDS: Duration = Duration::from_millis(300);
 const ANY_TIME: Tenths = Tenths::MAX;
@@ -40,9 +42,16 @@
     active: Cell<Option<Tenths>>,
     partial_since: Cell<Option<Tenths>>,
     cut: Notify,
+    /// It was cut off, and its last words are on their way.
+    closing: Cell<bool>,
 }
 
 impl Client {
+    fn cut_off(&self) {
+        self.closing.set(true);
+        self.cut.notify_one();
+    }
+
     fn put(&self, frame: bytes::Bytes, until: Tenths) {
         if self.outbox.put(frame, until).is_none() {
             self.cut.notify_one();
@@ -71,8 +80,10 @@
 }
 
 impl Clients {
-    pub fn len(&self) -> usize {
-        self.all.borrow().len()
+    /// Connections, and ids that are open: for tests and the log.
+    #[cfg(test)]
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.all.borrow().len(), self.txns.borrow().len())
     }
 
     /// Asks all to bring nothing new on these connections.
@@ -91,10 +102,11 @@
         if all.len() < most {
             return true;
         }
-        let idle = all.values().filter_map(|c| Some((c.active.get().is_some(), c.idle_since()?, c)));
+        let idle = all.values().filter(|c| !c.closing.get());
+        let idle = idle.filter_map(|c| Some((c.active.get().is_some(), c.idle_since()?, c)));
         match idle.min_by_key(|(spoke, since, _)| (*spoke, *since)) {
             Some((_, _, client)) => {
-                client.cut.notify_one();
+                client.cut_off();
                 true
             }
             None => false,
@@ -158,11 +170,14 @@
 
 /// Closes those who say nothing, or never end what they began.
 pub(crate) async fn sweep(front: Rc<Front>) {
-    loop {
+    for round in 1u64.. {
         tokio::time::sleep(SWEEP_EVERY).await;
+        if round.is_multiple_of(BELIEFS_EVERY) && tracing::enabled!(tracing::Level::INFO) {
+            front.see(crate::reach::log_beliefs);
+        }
         let now = front.clock.now();
         for client in front.seat.clients.all.borrow().values().filter(|c| c.is_overdue(now)) {
-            client.cut.notify_one();
+            client.cut_off();
         }
         front.tell(|state| state.desk.reach.sweep(now));
     }
@@ -179,6 +194,7 @@
         active: Cell::new(None),
         partial_since: Cell::new(None),
         cut: Notify::new(),
+        closing: Cell::new(false),
     });
     let clients = &front.seat.clients;
     let number = clients.last.get() + 1;
@@ -347,9 +363,3 @@
     state.taken(invocation, gone, carried, reply, span);
     Ok(())
 }
-
-impl std::fmt::Debug for Lines {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.sizes().fmt(f)
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,4 +15,6 @@
 
 pub use budget::Budget;
 pub use life::{Failure, Life, Seat, serve};
-pub use reach::Sizes;
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -13,7 +13,8 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{AbortHandle, spawn_local};
 use tracing::{info, warn};
 
 /// For so long after SIGTERM invocations still come, on connections old and new.
@@ -79,7 +80,38 @@
 pub async fn serve(life: Life, network: Rc<dyn Network>, clock: Clock, make: Make) -> Result<(), Failure> {
     let mut reloads = signal(SignalKind::hangup()).map_err(Failure::Signals)?;
     let mut ends = signal(SignalKind::terminate()).map_err(Failure::Signals)?;
-    let config = read(&life)?;
+    let (front, taking_in) = start(read(&life)?, life.unix_ms, network, clock, make).await?;
+    loop {
+        tokio::select! {
+            biased;
+            _ = ends.recv() => break,
+            _ = reloads.recv() => reload(&life, &front),
+        }
+    }
+    let signals = async {
+        loop {
+            tokio::select! {
+                _ = ends.recv() => {}
+                _ = reloads.recv() => reload(&life, &front),
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        () = leave(&front, taking_in) => {}
+        () = signals => {}
+    }
+    Ok(())
+}
+
+/// Puts a controller up: it knows its list before it listens. Gives what takes clients in.
+pub(crate) async fn start(
+    config: Config,
+    unix_ms: u64,
+    network: Rc<dyn Network>,
+    clock: Clock,
+    make: Make,
+) -> Result<(Rc<Front>, AbortHandle), Failure> {
     let (now, d) = (clock.now(), config.deployment);
     let budget = Budget::of(&config.limits);
     info!(name = config.name, ?budget, controllers = d.controllers, "starts");
@@ -94,7 +126,7 @@
         budget,
         clients: Clients::default(),
         feed: Feed::new(config.feed, config.known.0),
-        unix_origin: (life.unix_ms * MILLI).saturating_sub(now),
+        unix_origin: (unix_ms * MILLI).saturating_sub(now),
     };
     let front = Rc::new(Front::new(module, desk, clock, network, seat));
     front.tell(|state| {
@@ -111,23 +143,15 @@
     let listening = front.network.listen(&at).await;
     let (door, _) = listening.map_err(|why| Failure::Listen { at: at.to_string(), why })?;
     let turns = front.turns.clone();
-    tokio::task::spawn_local(turning(turns, clock, |_, gap| {
+    spawn_local(turning(turns, clock, |_, gap| {
         info!(stood_ms = gap / MILLI, "this controller stood still");
     }));
-    tokio::task::spawn_local(feed::follow(front.clone()));
-    tokio::task::spawn_local(clients::sweep(front.clone()));
+    spawn_local(feed::follow(front.clone()));
+    spawn_local(clients::sweep(front.clone()));
     let timers = front.clone();
-    tokio::task::spawn_local(async move { timers.run_timers().await });
-    let taking_in = tokio::task::spawn_local(clients::receive(front.clone(), door));
-    loop {
-        tokio::select! {
-            biased;
-            _ = ends.recv() => break,
-            _ = reloads.recv() => reload(&life, &front),
-        }
-    }
-    leave(&front, ends, reloads, &life, taking_in.abort_handle()).await;
-    Ok(())
+    spawn_local(async move { timers.run_timers().await });
+    let taking_in = spawn_local(clients::receive(front.clone(), door)).abort_handle();
+    Ok((front, taking_in))
 }
 
 /// A file that is bad or half-written changes nothing.
@@ -146,14 +170,8 @@
     }
 }
 
-/// Takes what still comes, answers all that was taken, then ends. Further signals change nothing.
-async fn leave(
-    front: &Rc<Front>,
-    mut ends: Signal,
-    mut reloads: Signal,
-    life: &Life,
-    taking_in: tokio::task::AbortHandle,
-) {
+/// Takes what still comes, answers all that was taken, then ends.
+pub(crate) async fn leave(front: &Rc<Front>, taking_in: AbortHandle) {
     let longest = front.seat.deployment.trigger_types.iter().map(|t| t.client_timeout).max().unwrap_or(0);
     info!("told to end: takes what still comes, then answers the rest");
     front.seat.clients.go_away();
@@ -166,18 +184,8 @@
         }
     };
     let over = Duration::from_micros(longest * 100) + STILL_COME + OVER;
-    let signals = async {
-        loop {
-            tokio::select! {
-                _ = ends.recv() => {}
-                _ = reloads.recv() => reload(life, front),
-            }
-        }
-    };
-    tokio::select! {
-        biased;
-        () = answered => info!("all is answered: ends"),
-        () = tokio::time::sleep(over) => warn!("ends with answers owed that nobody waits for"),
-        () = signals => {}
+    match tokio::time::timeout(over, answered).await {
+        Ok(()) => info!("all is answered: ends"),
+        Err(_) => warn!("ends with answers owed that nobody waits for"),
     }
 }
--- a/crates/platform/src/reach.rs
+++ b/crates/platform/src/reach.rs
@@ -75,13 +75,20 @@
     task: AbortHandle,
 }
 
-/// Sizes of the tables, for tests and the log: none may grow with what was ever seen.
+impl Job {
+    /// A dispatch whose request has left whole.
+    fn is_out(&self) -> bool {
+        matches!(self.of, Of::Dispatch { .. }) && self.socket.as_ref().is_some_and(|s| s.left_whole())
+    }
+}
+
+/// Sizes of the tables: none may grow with what was ever seen.
+#[cfg(test)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sizes {
+pub(crate) struct Sizes {
     pub pools: usize,
     pub lines: usize,
     pub jobs: usize,
-    pub clients: usize,
     pub bytes: usize,
 }
 
@@ -141,9 +148,10 @@
         })
     }
 
+    #[cfg(test)]
     pub fn sizes(&self) -> Sizes {
         let (pools, lines, jobs) = (self.pools.len(), self.open.get(), self.jobs.len());
-        Sizes { pools, lines, jobs, clients: 0, bytes: self.held.get() }
+        Sizes { pools, lines, jobs, bytes: self.held.get() }
     }
 
     /// Lets go of idle lines that the invoker would soon close, of those that are broken, and of pools that are gone.
@@ -203,6 +211,7 @@
             job: self.last,
             address: Address::Tcp(pool.address.to_string()),
             within: self.connect_timeout,
+            counted: Cell::new(line.is_none().then(|| Counted::new(&self.open))),
             open: self.open.clone(),
             cutoff,
             request,
@@ -280,8 +289,9 @@
         never
     }
 
-    fn cancel(&mut self, _: InvokerId, dispatch: u64) {
+    fn cancel(&mut self, _: InvokerId, dispatch: u64) -> bool {
         self.give_up(dispatch);
+        true
     }
 
     fn ended(&mut self, _: InvokerId, dispatch: u64, _: &Carried, _: Outcome, _: &Told) {
@@ -321,6 +331,8 @@
     job: u64,
     address: Address,
     within: Duration,
+    /// The descriptor of the line that is to be made, counted from the start.
+    counted: Cell<Option<Counted>>,
     open: Rc<Cell<usize>>,
     cutoff: Rc<Cell<Tenths>>,
     request: Request<Full<Bytes>>,
@@ -336,7 +348,7 @@
 
 impl Ask {
     async fn dial(&self) -> Result<Line, String> {
-        let counted = Counted::new(&self.open);
+        let counted = self.counted.take().unwrap_or_else(|| Counted::new(&self.open));
         let dialled = tokio::time::timeout(self.within, self.front.network.dial(&self.address)).await;
         let stream = match dialled {
             Ok(Ok(stream)) => stream,
@@ -495,6 +507,43 @@
     }
 }
 
+/// What the module believes of each invoker, beside what is on its sockets.
+pub(crate) fn log_beliefs(state: &State) {
+    let (reach, c) = (&state.desk.reach, &state.desk.counts);
+    info!(
+        taken = c.taken,
+        succeeded = c.succeeded,
+        throttled = c.throttled,
+        errored = c.errored,
+        left = c.left,
+        too_late = c.too_late,
+        dispatches = c.dispatches,
+        orders = c.orders,
+        in_flight = state.desk.in_flight(),
+        lines = reach.open.get(),
+        held_bytes = reach.held.get(),
+        "counts"
+    );
+    for b in state.module.beliefs(state.desk.now) {
+        let id = saltdrum_platform_wire::feed::id_text(b.invoker);
+        let of = |j: &&Job| j.invoker == b.invoker;
+        let sent = reach.jobs.values().filter(of).filter(|j| matches!(j.of, Of::Dispatch { .. })).count();
+        let on_sockets = reach.jobs.values().filter(of).filter(|j| j.is_out()).count();
+        let idle = reach.pools.get(&b.invoker).map_or(0, |p| p.idle.len());
+        info!(
+            id,
+            out = b.out,
+            sent,
+            on_sockets,
+            idle,
+            slow = b.slow,
+            errors = b.errors,
+            shut = b.shut,
+            "belief"
+        );
+    }
+}
+
 /// The time of a pool's cutoff has come: what has not begun to leave never will.
 fn cut_off(state: &mut State, invoker: InvokerId) {
     let (now, reach) = (state.desk.now, &state.desk.reach);
--- /dev/null
+++ b/crates/platform/src/tests.rs
@@ -0,0 +1,755 @@
+//! The whole path against scripted peers, on in-memory streams under a paused clock: what each fault is told as, that
+//! bad peers harm nobody else, that the five rules hold on the traffic, and that the checker catches who breaks them.
+
+use crate::life::{leave, start};
+use crate::reach::{Front, Sizes};
+use bytes::Bytes;
+use saltdrum::port::*;
+use saltdrum_controller::{Decides, Make, by_design};
+use saltdrum_day::{State as Kept, check::check};
+use saltdrum_link::{Address, Clock, Memory, Network};
+use saltdrum_platform_wire::config;
+use saltdrum_platform_wire::feed::Event;
+use saltdrum_platform_wire::frames::{self, Code};
+use saltdrum_standin::platform::{
+    Answered, Call, Feed, FrameClient, Heard, HttpInvoker, Spoilt, Torn, listing,
+};
+use saltdrum_standin::record::{Line, Place, Record, Stated, Trigger, Who};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+
+const WHO: Who = Who { controller: 1, incarnation: 1 };
+const UNIX_MS: u64 = 1_800_000_000_000;
+const TAKES: Duration = Duration::from_millis(40);
+
+fn address(text: &str) -> SocketAddrV4 {
+    text.parse().unwrap()
+}
+
+fn invoker_at(invoker: u32) -> SocketAddrV4 {
+    address(&format!("10.1.0.{invoker}:7001"))
+}
+
+fn here() -> SocketAddrV4 {
+    address("10.0.0.4:7001")
+}
+
+fn feed_at(n: u8) -> SocketAddrV4 {
+    address(&format!("10.2.0.{n}:8500"))
+}
+
+/// The settings as the platform states them, with the three kinds of effect.
+fn configuration(invokers: &[u32], sockets: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "aim_ms": 1000.0, "give_up_ms": 3000.0, "effect": effect, "key_scope": "all",
+            "repeat_window_ms": 2000.0, "worth": 1.0, "late_share": 0.2, "stream": false})
+    };
+    let members: Vec<_> = invokers
+        .iter()
+        .map(|w| {
+            serde_json::json!({"id": format!("s-{w:08x}"), "host_port": invoker_at(*w).to_string(), "locality": "a",
+                "flavor": "std", "cell": 0, "phase": "up", "size": 4.0, "up_since_ms": 0})
+        })
+        .collect();
+    serde_json::json!({
+        "name": "n1", "listen": here().to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets}, "feed": feed_at(1).to_string(),
+        "known": {"n": 1, "events": [{"n": 1, "members": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "balancers": 1, "zone": 0, "zones": ["a"], "kinds": ["std"], "over_share_worth": 0.1, "tick_ms": 2.0,
+            "classes": [class("look", "safe"), class("book", "unsafe"), class("charge", "keyed")],
+            "bounds": {"cancel": true, "connect_timeout_ms": 250.0, "conn_idle_ms": 15000.0, "max_retry_after_ms": 500.0,
+                "parallel_tries": false, "probing": true, "retry_after": true, "try_limit": 3},
+            "family_info": {"kind_memory_mb": [42000.0], "linger_idle_ms": 9000.0, "load_share": 0.1,
+                "load_wait_ms": 10000.0, "load_window_ms": 5000.0, "loads_anyway": 3.0, "may_order": true,
+                "not_loaded": "miss"},
+            "reporting": {"fields": ["queue", "util"]},
+            "rules": {"drain_grace_ms": 250.0, "cold_from": 0.3, "cold_ms": 8000.0, "overload_factor": 2.0,
+                "tip_after_ms": 3000.0, "grace_to_answer_ms": 16.0}
+        }
+    })
+    .to_string()
+}
+
+fn stated() -> Line {
+    let trigger = |name: &str, effect: &str| Trigger {
+        name: name.into(),
+        effect: effect.into(),
+        scope: "all".into(),
+        repeat_window: 2 * SECOND,
+        objective: SECOND,
+        billed_value: 1.0,
+    };
+    Line::Stated(Stated {
+        triggers: vec![
+            trigger("look", "idempotent"),
+            trigger("book", "non-idempotent"),
+            trigger("charge", "tokened"),
+        ],
+        places: (1..=4).map(|invoker| Place { invoker, zone: 0, cell: 0, pace: 4.0 }).collect(),
+        parallel_dispatches: false,
+        drain_grace: 250 * MILLI,
+        cold_share: 0.3,
+        cold_time: 8 * SECOND,
+        tip_factor: 2.0,
+        tip_window: 3 * SECOND,
+        order_window: 5 * SECOND,
+        orders_free: 3.0,
+        orders_share: 0.1,
+    })
+}
+
+/// A controller and its peers.
+struct Stage {
+    network: Rc<dyn Network>,
+    clock: Clock,
+    record: Record,
+    invokers: BTreeMap<u32, Rc<HttpInvoker>>,
+    hops: Rc<RefCell<BTreeMap<u64, u8>>>,
+    feed: Rc<Feed>,
+    front: Rc<Front>,
+    taking_in: AbortHandle,
+    next: Cell<u64>,
+}
+
+impl Stage {
+    async fn new(make: Make, invokers: &[u32], sockets: usize) -> Self {
+        let (network, clock): (Rc<dyn Network>, _) = (Rc::new(Memory::default()), Clock::start());
+        let (record, hops) = (Record::default(), Rc::default());
+        record.note(stated());
+        let feed = Feed::new(WHO, record.clone(), clock);
+        spawn_local(feed.clone().serve(network.clone(), feed_at(1)));
+        let config = config::read(&configuration(invokers, sockets)).unwrap();
+        let started = start(config, UNIX_MS, network.clone(), clock, make).await;
+        let (front, taking_in) = started.unwrap_or_else(|e| panic!("{e}"));
+        let (next, none) = (Cell::new(0), BTreeMap::new());
+        let mut stage = Self { network, clock, record, invokers: none, hops, feed, front, taking_in, next };
+        invokers.iter().for_each(|w| stage.invoker(*w, invoker_at(*w)));
+        pass(10).await;
+        stage
+    }
+
+    fn invoker(&mut self, w: u32, at: SocketAddrV4) {
+        let (record, hops) = (self.record.clone(), self.hops.clone());
+        let invoker = HttpInvoker::new(w, WHO, TAKES, hops, record, self.clock);
+        spawn_local(invoker.clone().serve(self.network.clone(), at));
+        self.invokers.insert(w, invoker);
+    }
+
+    async fn client(&self) -> FrameClient {
+        FrameClient::dial(&*self.network, here(), WHO, self.record.clone(), self.clock).await.unwrap()
+    }
+
+    fn call(&self, trigger: &str) -> Call {
+        self.next.set(self.next.get() + 1);
+        let n = self.next.get();
+        let token = (trigger == "charge").then(|| format!("{n:032x}"));
+        let (trigger, body) = (trigger.to_owned(), vec![7; (n % 3) as usize * 50]);
+        Call { n, attempt: 0, trigger, function: 0xf0 + n % 3, limit_ms: 2_000, token, body }
+    }
+
+    fn sizes(&self) -> (Sizes, (usize, usize), usize) {
+        let (sizes, in_flight) = self.front.see(|s| (s.desk.reach.sizes(), s.desk.in_flight()));
+        (sizes, self.front.seat.clients.sizes(), in_flight)
+    }
+
+    /// Rules that were broken, by the record.
+    fn broken(&self) -> Vec<u8> {
+        let verdicts = check(&self.record.take()).unwrap();
+        let broken: Vec<_> = verdicts.iter().filter(|v| v.state != Kept::Kept).collect();
+        broken.iter().for_each(|v| println!("{v:?}"));
+        broken.iter().map(|v| v.rule).collect()
+    }
+}
+
+async fn pass(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+fn staged<F: Future<Output = ()>>(play: impl FnOnce() -> F) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, play());
+}
+
+thread_local! {
+    static TOLD: RefCell<Vec<(Outcome, bool)>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Sends everything to invoker 1 and answers by what came of it; keeps what it was told.
+struct First;
+
+fn first(_: Tenths, _: Deployment, _: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
+    TOLD.take();
+    Box::new(First)
+}
+
+impl Decides for First {
+    fn listed(&mut self, _: Tenths, _: bool, _: &[Listed]) {}
+    fn invoked(&mut self, _: Tenths, call: Invocation, acts: &mut dyn Acts) {
+        acts.dispatch(call.id, 1, 0);
+    }
+    fn left(&mut self, _: Tenths, _: InvId) {}
+    fn answered(&mut self, _: Tenths, a: Answer, acts: &mut dyn Acts) {
+        TOLD.with_borrow_mut(|told| told.push((a.outcome, a.finished)));
+        match a.finished {
+            true => {}
+            false if a.outcome.never_ran() => acts.throttle(a.inv, 100),
+            false => acts.error(a.inv),
+        }
+    }
+    fn held(&mut self, _: Tenths, _: HoldAnswer, _: &mut dyn Acts) {}
+    fn woken(&mut self, _: Tenths, _: u64, _: &mut dyn Acts) {}
+}
+
+async fn answer(client: &mut FrameClient) -> Answered {
+    match client.hear().await {
+        Some(Heard::Answer(answered)) => answered,
+        other => panic!("{other:?} where an answer was expected"),
+    }
+}
+
+#[test]
+fn each_dispatch_ends_by_what_is_proven_and_spoilt_connections_are_not_used_again() {
+    use Spoilt as S;
+    let may_have_run = [Outcome::Reset, Outcome::Errored, Outcome::TimedOut];
+    let (well, throttled) = ([Outcome::Succeeded], |o| [o]);
+    let cases: Vec<(Spoilt, Vec<Outcome>, Code, bool)> = vec![
+        (S::No, well.to_vec(), Code::Succeeded, true),
+        (S::Early1xx, well.to_vec(), Code::Succeeded, true),
+        (S::NoiseAfter, well.to_vec(), Code::Succeeded, false),
+        (S::TwiceOver, well.to_vec(), Code::Succeeded, false),
+        (S::Miss, throttled(Outcome::Miss).to_vec(), Code::Throttled, true),
+        (S::Full, throttled(Outcome::Full).to_vec(), Code::Throttled, true),
+        (S::Over, throttled(Outcome::NotSent).to_vec(), Code::Throttled, true),
+        (S::Errored, vec![Outcome::Errored], Code::Errored, true),
+        (S::NoiseForHead, may_have_run.to_vec(), Code::Errored, false),
+        (S::HeadWithoutEnd, may_have_run.to_vec(), Code::Errored, false),
+        (S::LengthsContradict, may_have_run.to_vec(), Code::Errored, false),
+        (S::ThreeGigabytes, may_have_run.to_vec(), Code::Errored, false),
+        (S::ShortBody, may_have_run.to_vec(), Code::Errored, false),
+        (S::ResetAfterReading, may_have_run.to_vec(), Code::Errored, false),
+        (S::Silent, vec![Outcome::TimedOut], Code::Errored, false),
+    ];
+    for (spoilt, outcomes, code, reused) in cases {
+        staged(|| async move {
+            let stage = Stage::new(first, &[1], 256).await;
+            let (invoker, mut client) = (stage.invokers[&1].clone(), stage.client().await);
+            invoker.spoilt.set(spoilt);
+            let call = stage.call("book");
+            client.ask(&call).await;
+            let answered = answer(&mut client).await;
+            assert_eq!(answered.code, code as u8, "{spoilt:?}");
+            let told = TOLD.take();
+            assert!(told.len() == 1 && outcomes.contains(&told[0].0), "{spoilt:?}: {told:?}");
+            if code == Code::Succeeded {
+                assert_eq!(answered.body, format!("ran {} {}", call.txn(), call.body.len()), "{spoilt:?}");
+            }
+            assert_eq!(answered.later_ms, (code == Code::Throttled).then_some(10), "{spoilt:?}");
+            pass(5).await;
+            invoker.spoilt.set(Spoilt::No);
+            client.ask(&stage.call("book")).await;
+            assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8, "{spoilt:?}");
+            assert_eq!(invoker.accepted.get(), if reused { 1 } else { 2 }, "connections after {spoilt:?}");
+            assert_eq!(stage.broken(), [0u8; 0], "{spoilt:?}");
+        });
+    }
+}
+
+#[test]
+fn what_never_left_is_told_so() {
+    staged(|| async {
+        let stage = Stage::new(first, &[], 256).await;
+        let mut client = stage.client().await;
+        // Listed, but nobody listens there.
+        stage.feed.say(2, Event::Changes(vec![listing(1, invoker_at(9), Life::Ready, None)]));
+        pass(10).await;
+        client.ask(&stage.call("book")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Throttled as u8);
+        assert_eq!(TOLD.take(), [(Outcome::NoConnection, false)]);
+    });
+}
+
+#[test]
+fn ids_fields_and_bytes_pass_unchanged() {
+    staged(|| async {
+        let stage = Stage::new(first, &[1], 256).await;
+        let mut client = stage.client().await;
+        let body: Vec<u8> = (0..=255).cycle().take(16 << 10).collect();
+        let call = Call { body: body.clone(), ..stage.call("charge") };
+        client.ask(&call).await;
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        client.ask(&Call { body: vec![], ..stage.call("look") }).await;
+        answer(&mut client).await;
+        let arrived = stage.invokers[&1].arrived.borrow();
+        let (a, b) = (&arrived[0], &arrived[1]);
+        assert_eq!((a.method.as_str(), a.path.as_str()), ("POST", "/obj/charge"));
+        assert_eq!((&a.fields["x-txn"], a.fields.get("x-dedupe")), (&call.txn(), call.token.as_ref()));
+        assert_eq!(a.fields["x-name"], format!("{:016x}", call.function));
+        assert!((1_900..2_000).contains(&a.fields["x-limit-ms"].parse::<u32>().unwrap()), "{:?}", a.fields);
+        assert_eq!(a.body, Bytes::from(body));
+        assert_eq!((b.method.as_str(), b.path.as_str()), ("GET", "/obj/look"));
+        assert!(!b.fields.contains_key("x-dedupe") && !b.fields.contains_key("content-length"), "{b:?}");
+    });
+}
+
+#[test]
+fn connections_are_used_again_until_they_were_idle_too_long() {
+    staged(|| async {
+        let stage = Stage::new(first, &[1], 256).await;
+        let (invoker, mut client) = (stage.invokers[&1].clone(), stage.client().await);
+        for n in 0..30 {
+            client.ask(&stage.call("look")).await;
+            assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+            pass(n * 20).await;
+        }
+        assert_eq!(invoker.accepted.get(), 1);
+        pass(12_000).await;
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        assert_eq!(invoker.accepted.get(), 2, "an idle one is closed before the invoker would");
+        assert_eq!(invoker.connections.get(), 1);
+    });
+}
+
+/// Bytes that no client may send.
+fn lies() -> Vec<Vec<u8>> {
+    let good = Call {
+        n: 900,
+        attempt: 0,
+        trigger: "look".into(),
+        function: 0xf1,
+        limit_ms: 1_000,
+        token: None,
+        body: vec![],
+    };
+    let with = |name: &str, value: Option<&str>| {
+        let (txn, mut fields) = (good.txn(), Vec::new());
+        for (n, v) in [("verb", "look"), ("txn", &txn), ("limit", "1000"), ("item", "00000000000000f1")] {
+            match value {
+                Some(value) if n == name => fields.push((n, value)),
+                None if n == name => {}
+                _ => fields.push((n, v)),
+            }
+        }
+        if !fields.iter().any(|f| f.0 == name) && value.is_some() {
+            fields.push((name, value.unwrap_or_default()));
+        }
+        frames::invoke(1, &fields, &[]).to_vec()
+    };
+    let mut all = vec![
+        vec![0; 4],
+        vec![0xff; 64],
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        [60_000_000u32.to_be_bytes().to_vec(), vec![16; 100_000]].concat(),
+        [3u32.to_be_bytes().to_vec(), vec![16; 9]].concat(),
+        [9u32.to_be_bytes().to_vec(), vec![77; 9]].concat(),
+        frames::invoke(1, &[], &[]).to_vec(),
+        frames::invoke(1, &[("verb", "look"), ("verb", "look")], &[]).to_vec(),
+        [frames::invoke(1, &[], &[]).to_vec(), frames::invoke(1, &[], &[]).to_vec()].concat(),
+        good.frame(1)[..40].to_vec(),
+        Call { body: vec![0; 17 << 10], ..good.clone() }.frame(1).to_vec(),
+        Call { trigger: "charge".into(), ..good.clone() }.frame(1).to_vec(),
+    ];
+    let values = [
+        ("verb", vec![None, Some(""), Some("looks"), Some("look\r\nX-Txn: 1")]),
+        ("txn", vec![None, Some(""), Some("12"), Some("00000000000000zz"), Some("+000000000000001")]),
+        (
+            "limit",
+            vec![
+                None,
+                Some(""),
+                Some("-5"),
+                Some("soon"),
+                Some("nan"),
+                Some("1e3"),
+                Some("99999999"),
+                Some("0"),
+            ],
+        ),
+        ("item", vec![None, Some("f1"), Some("00000000000000F1"), Some("g0000000000000f1")]),
+        ("cpu", vec![Some("-1"), Some("x"), Some("1e12")]),
+        ("extras", vec![Some("memory_mb"), Some("lanes:-1"), Some("memory_mb:999999"), Some("load_ms:inf")]),
+        ("unique", vec![Some(""), Some("a b"), Some("a\r\nX-Unrun: 1")]),
+    ];
+    for (name, values) in values {
+        all.extend(values.into_iter().map(|value| with(name, value)));
+    }
+    all
+}
+
+#[test]
+fn strangers_are_answered_or_closed_in_time_and_harm_nobody() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 256).await;
+        let mut usual = stage.client().await;
+        for (n, lie) in lies().into_iter().enumerate() {
+            let mut client = stage.client().await;
+            let wrote = client.stream.write_all(&lie).await;
+            let heard = tokio::time::timeout(Duration::from_millis(2_900), client.hear()).await;
+            match heard {
+                Ok(None) => {}
+                Ok(Some(Heard::Answer(a))) => assert_ne!(a.code, Code::Succeeded as u8, "lie {n}"),
+                other => panic!("lie {n}: {other:?} after {wrote:?}"),
+            }
+            usual.ask(&stage.call("look")).await;
+            answer(&mut usual).await;
+        }
+        // Those who only connect are closed; so are those who stay after one invocation.
+        let mut silent = stage.client().await;
+        assert_eq!(tokio::time::timeout(Duration::from_millis(2_900), silent.hear()).await, Ok(None));
+        assert_eq!(tokio::time::timeout(Duration::from_millis(8_000), usual.hear()).await, Ok(None));
+        let asked: Vec<u64> = stage
+            .invokers
+            .values()
+            .flat_map(|i| i.arrived.borrow().clone())
+            .filter_map(|a| u64::from_str_radix(a.fields.get("x-txn")?, 16).ok())
+            .collect();
+        assert!(asked.iter().all(|txn| txn >> 8 < 900), "a lie came to an invoker: {asked:x?}");
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+#[test]
+fn an_open_id_is_not_taken_twice_and_more_than_the_allowed_streams_are_turned_away() {
+    staged(|| async {
+        let stage = Stage::new(first, &[1], 256).await;
+        let (mut one, mut other) = (stage.client().await, stage.client().await);
+        let call = stage.call("look");
+        one.ask(&call).await;
+        pass(1).await;
+        other.ask(&Call { body: vec![1], ..call.clone() }).await;
+        assert_eq!(answer(&mut other).await.code, Code::Errored as u8);
+        assert_eq!(answer(&mut one).await.code, Code::Succeeded as u8);
+        assert_eq!(stage.invokers[&1].arrived.borrow().len(), 1);
+        for _ in 0..40 {
+            one.ask(&stage.call("look")).await;
+        }
+        let mut codes = Vec::new();
+        for _ in 0..40 {
+            codes.push(answer(&mut one).await.code);
+        }
+        assert_eq!(codes.iter().filter(|c| **c == Code::Throttled as u8).count(), 8);
+        assert_eq!(codes.iter().filter(|c| **c == Code::Succeeded as u8).count(), 32);
+    });
+}
+
+#[test]
+fn who_is_left_by_its_client_is_given_up_at_the_invoker() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1], 256).await;
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        let stream = client.ask(&stage.call("look")).await;
+        pass(10).await;
+        client.leave(stream).await;
+        pass(10).await;
+        assert_eq!(stage.sizes().2, 0, "nothing of it is kept");
+        assert_eq!(stage.invokers[&1].connections.get(), 0, "its connection is closed");
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+#[test]
+fn a_torn_feed_is_followed_to_the_same_list() {
+    for torn in [Torn::No, Torn::Half, Torn::Twice, Torn::Stalls, Torn::Length] {
+        staged(|| async move {
+            let mut stage = Stage::new(by_design, &[1], 256).await;
+            stage.invoker(2, invoker_at(2));
+            pass(1_500).await;
+            stage.feed.torn.set(torn);
+            let one = listing(1, invoker_at(1), Life::Draining, None);
+            let two = listing(2, invoker_at(2), Life::Ready, None);
+            stage.feed.say(2, Event::Changes(vec![one]));
+            stage.feed.say(3, Event::Changes(vec![two]));
+            pass(3_500).await;
+            assert_eq!(
+                stage.feed.asked.borrow().last(),
+                Some(&if torn == Torn::Twice || torn == Torn::No { 1 } else { 1 })
+            );
+            let mut client = stage.client().await;
+            client.ask(&stage.call("look")).await;
+            answer(&mut client).await;
+            assert!(stage.invokers[&1].arrived.borrow().is_empty(), "{torn:?}: it drains");
+            assert!(!stage.invokers[&2].arrived.borrow().is_empty(), "{torn:?}: it is ready");
+        });
+    }
+}
+
+#[test]
+fn the_feed_is_followed_where_a_new_configuration_puts_it() {
+    staged(|| async {
+        let mut stage = Stage::new(by_design, &[1], 256).await;
+        stage.invoker(2, invoker_at(2));
+        let moved = Feed::new(WHO, stage.record.clone(), stage.clock);
+        spawn_local(moved.clone().serve(stage.network.clone(), feed_at(2)));
+        stage.feed.say(2, Event::Nothing);
+        stage.front.seat.feed.moves(feed_at(2));
+        moved.say(2, Event::Changes(vec![listing(1, invoker_at(1), Life::Gone, None)]));
+        moved.say(3, Event::Changes(vec![listing(2, invoker_at(2), Life::Ready, None)]));
+        pass(600).await;
+        assert_eq!(*moved.asked.borrow(), [1]);
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        assert!(!stage.invokers[&2].arrived.borrow().is_empty());
+    });
+}
+
+#[test]
+fn an_address_that_passed_to_a_new_id_gets_a_connection_of_its_own() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1], 256).await;
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        let before = stage.invokers[&1].accepted.get();
+        stage.feed.say(2, Event::Changes(vec![listing(1, invoker_at(1), Life::Gone, None)]));
+        stage.feed.say(3, Event::Changes(vec![listing(7, invoker_at(1), Life::Ready, None)]));
+        pass(50).await;
+        assert_eq!(stage.invokers[&1].connections.get(), 0, "those of the old id are closed");
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        assert!(stage.invokers[&1].accepted.get() > before);
+    });
+}
+
+/// Thousands of invokers, connections, ids and functions come and go; the tables are back at their bound.
+#[test]
+fn nothing_grows_with_what_was_ever_seen() {
+    staged(|| async {
+        let mut stage = Stage::new(by_design, &[1], 256).await;
+        let mut number = 1;
+        for round in 0..300u32 {
+            let (old, new) = (round * 10 + 1, (round + 1) * 10 + 1);
+            let changes = (0..10).map(|i| listing(new + i, invoker_at(1), Life::Ready, None));
+            let gone = (0..10).map(|i| listing(old + i, invoker_at(1), Life::Gone, None));
+            number += 1;
+            stage.feed.say(number, Event::Changes(changes.chain(gone).collect()));
+            let mut client = stage.client().await;
+            for _ in 0..10 {
+                let call = stage.call("look");
+                client.ask(&Call { function: 1_000 + call.n, ..call }).await;
+            }
+            for _ in 0..10 {
+                answer(&mut client).await;
+            }
+            pass(100).await;
+        }
+        pass(20_000).await;
+        stage.invokers.clear();
+        let (sizes, clients, in_flight) = stage.sizes();
+        assert_eq!((clients, in_flight, sizes.jobs, sizes.bytes), ((0, 0), 0, 0, 0));
+        assert_eq!(sizes.pools, 10, "only those that are listed");
+        assert!(sizes.lines <= 10, "{sizes:?}");
+    });
+}
+
+/// Hundreds connect at once and say nothing, and invokers never answer: the limit on descriptors holds.
+#[test]
+fn a_low_limit_on_descriptors_holds_in_a_crowd() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 64).await;
+        let budget = stage.front.seat.budget;
+        stage.invokers.values().for_each(|i| i.spoilt.set(Spoilt::Silent));
+        let mut crowd = Vec::new();
+        for _ in 0..300 {
+            crowd.push(stage.client().await);
+        }
+        let mut usual = stage.client().await;
+        for _ in 0..32 {
+            usual.ask(&Call { limit_ms: 1_500, ..stage.call("look") }).await;
+        }
+        for _ in 0..20 {
+            pass(20).await;
+            let (sizes, clients, _) = stage.sizes();
+            assert!(sizes.lines <= budget.lines, "{sizes:?} of {budget:?}");
+            // Those that are cut off have a moment for their last words; nobody had any here.
+            assert!(clients.0 <= budget.clients + 1, "{clients:?} of {budget:?}");
+        }
+        for _ in 0..32 {
+            assert_ne!(answer(&mut usual).await.code, Code::Succeeded as u8);
+        }
+        drop(crowd);
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+#[test]
+fn told_to_end_it_takes_what_still_comes_and_answers_all() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 256).await;
+        let mut old = stage.client().await;
+        old.ask(&stage.call("look")).await;
+        pass(5).await;
+        let (front, taking_in) = (stage.front.clone(), stage.taking_in.clone());
+        let ending = spawn_local(async move { leave(&front, taking_in).await });
+        pass(300).await;
+        let mut new = stage.client().await;
+        new.ask(&stage.call("look")).await;
+        pass(200).await;
+        old.ask(&stage.call("book")).await;
+        ending.await.unwrap();
+        let mut heard = Vec::new();
+        for _ in 0..3 {
+            heard.push(old.hear().await);
+        }
+        assert!(heard.contains(&Some(Heard::GoAway)), "{heard:?}");
+        let answers = heard.iter().filter(|h| matches!(h, Some(Heard::Answer(_)))).count();
+        assert_eq!(answers, 2, "{heard:?}");
+        answer(&mut new).await;
+        let late = stage.network.dial(&Address::Tcp(here().to_string())).await;
+        assert!(late.is_err(), "the door is shut");
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+/// A mixed load with invokers that drain, die and spoil answers.
+async fn busy(stage: &Stage, rounds: u64) {
+    let mut client = stage.client().await;
+    for round in 0..rounds {
+        for trigger in ["look", "book", "charge"] {
+            client.ask(&Call { limit_ms: 1_000, ..stage.call(trigger) }).await;
+        }
+        let spoilt =
+            [Spoilt::No, Spoilt::ShortBody, Spoilt::No, Spoilt::Miss, Spoilt::No, Spoilt::ResetAfterReading];
+        stage.invokers[&((round % 2) as u32 + 1)].spoilt.set(spoilt[round as usize % spoilt.len()]);
+        if round == rounds / 2 {
+            stage.feed.say(2, Event::Changes(vec![listing(1, invoker_at(1), Life::Draining, None)]));
+            let started = Some(UNIX_MS + stage.clock.now() / 10 - 3_600_000);
+            stage.feed.say(3, Event::Changes(vec![listing(3, invoker_at(3), Life::Ready, started)]));
+        }
+        let _ =
+            tokio::time::timeout(Duration::from_millis(60), async { while client.hear().await.is_some() {} })
+                .await;
+    }
+    let _ =
+        tokio::time::timeout(Duration::from_millis(2_500), async { while client.hear().await.is_some() {} })
+            .await;
+}
+
+#[test]
+fn the_five_rules_hold_on_the_traffic_of_bad_peers() {
+    staged(|| async {
+        let mut stage = Stage::new(by_design, &[1, 2], 256).await;
+        stage.invoker(3, invoker_at(3));
+        busy(&stage, 120).await;
+        let arrived: usize = stage.invokers.values().map(|i| i.arrived.borrow().len()).sum();
+        assert!(arrived > 200, "{arrived}");
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+/// How a module is made to break a rule.
+#[derive(Clone, Copy, PartialEq)]
+enum Rash {
+    AnswersNothing,
+    RunsAgain,
+    OrdersAtWill,
+    FloodsColdOnes,
+}
+
+thread_local! {
+    static RASH: Cell<Rash> = const { Cell::new(Rash::RunsAgain) };
+}
+
+impl Decides for Rash {
+    fn listed(&mut self, _: Tenths, _: bool, _: &[Listed]) {}
+    fn invoked(&mut self, _: Tenths, call: Invocation, acts: &mut dyn Acts) {
+        match self {
+            Self::AnswersNothing => return,
+            Self::OrdersAtWill => (0..4).for_each(|_| acts.hold(2, call.function, 1)),
+            Self::RunsAgain | Self::FloodsColdOnes => {}
+        }
+        acts.dispatch(call.id, if *self == Self::FloodsColdOnes { 3 } else { 2 }, 0);
+    }
+    fn left(&mut self, _: Tenths, _: InvId) {}
+    fn answered(&mut self, _: Tenths, a: Answer, acts: &mut dyn Acts) {
+        if !a.finished && *self == Self::RunsAgain && a.hop == 0 {
+            acts.dispatch(a.inv, 1, 0);
+        } else if !a.finished {
+            acts.error(a.inv);
+        }
+    }
+    fn held(&mut self, _: Tenths, _: HoldAnswer, _: &mut dyn Acts) {}
+    fn woken(&mut self, _: Tenths, _: u64, _: &mut dyn Acts) {}
+}
+
+#[test]
+fn the_checker_catches_each_planted_fault() {
+    for (rash, rule) in [(Rash::AnswersNothing, 1), (Rash::RunsAgain, 2), (Rash::OrdersAtWill, 5)] {
+        staged(|| async move {
+            RASH.set(rash);
+            let stage = Stage::new(|_, _, _, _| Box::new(RASH.get()), &[1, 2], 256).await;
+            let mut client = stage.client().await;
+            stage.invokers[&2].spoilt.set(Spoilt::ShortBody);
+            for _ in 0..10 {
+                client.ask(&Call { limit_ms: 500, ..stage.call("book") }).await;
+            }
+            let _ = tokio::time::timeout(Duration::from_millis(1_500), async {
+                while client.hear().await.is_some() {}
+            })
+            .await;
+            assert!(stage.broken().contains(&rule), "rule {rule}");
+        });
+    }
+}
+
+#[test]
+fn the_checker_catches_what_comes_late_to_one_that_drains() {
+    staged(|| async {
+        // The module hears nothing of it: the news is noted, and never written.
+        let stage = Stage::new(first, &[1], 256).await;
+        let (at, who) = (stage.clock.now(), WHO);
+        stage.record.note(Line::Told { at, who, invoker: 1, incarnation: 0, life: "draining".into() });
+        pass(400).await;
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        answer(&mut client).await;
+        assert_eq!(stage.broken(), [3]);
+    });
+}
+
+#[test]
+fn the_checker_catches_who_floods_a_cold_one() {
+    staged(|| async {
+        RASH.set(Rash::FloodsColdOnes);
+        let mut stage = Stage::new(|_, _, _, _| Box::new(RASH.get()), &[], 1_024).await;
+        stage.invoker(3, invoker_at(3));
+        let (at, invoker) = (stage.clock.now(), 3);
+        stage.record.note(Line::Invoker { at, invoker, incarnation: 1, up: true, cold: true });
+        let started = Some(UNIX_MS);
+        stage.feed.say(2, Event::Changes(vec![listing(3, invoker_at(3), Life::Ready, started)]));
+        pass(20).await;
+        let mut client = stage.client().await;
+        for _ in 0..400 {
+            for _ in 0..10 {
+                let call = stage.call("look");
+                stage.record.note(Line::Sent {
+                    at: stage.clock.now(),
+                    who: WHO,
+                    of: saltdrum_standin::record::Try { n: call.n, attempt: 0 },
+                    tenant: String::new(),
+                    trigger: "look".into(),
+                    function: String::new(),
+                    timeout: 20_000,
+                    work: 40 * MILLI,
+                });
+                client.ask(&call).await;
+            }
+            pass(4).await;
+            for _ in 0..10 {
+                answer(&mut client).await;
+            }
+        }
+        assert!(stage.broken().contains(&4));
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod invoker;
 pub mod list;
 pub mod machine;
+pub mod platform;
 pub mod record;
 pub mod registry;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,490 @@
+//! Stand-ins for the platform's peers on its own protocol: HTTP invokers, the control feed, a client. Faults can be
+//! forced; what crosses the sockets goes into the same record as everywhere, so that the same checker judges it.
+
+use crate::record::{How, Line, Record, Try, Who};
+use bytes::{Buf, Bytes, BytesMut};
+use saltdrum::port::{Life, Tenths};
+use saltdrum_link::{Address, Clock, Network, Stream};
+use saltdrum_platform_wire::feed::{self, Event, Line as Listing};
+use saltdrum_platform_wire::frames::{self, Code};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// What an invoker's answer suffers on its way. The request has run, unless the name says otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Spoilt {
+    #[default]
+    No,
+    NoiseForHead,
+    HeadWithoutEnd,
+    LengthsContradict,
+    ThreeGigabytes,
+    ShortBody,
+    ResetAfterReading,
+    Silent,
+    Early1xx,
+    NoiseAfter,
+    TwiceOver,
+    /// Closed when it is accepted: nothing was read.
+    ClosedUnread,
+    /// Answered 404, 503, 500 and 504, as the protocol means them.
+    Miss,
+    Full,
+    Errored,
+    Over,
+}
+
+/// One request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrived {
+    pub at: Tenths,
+    pub method: String,
+    pub path: String,
+    pub fields: BTreeMap<String, String>,
+    pub body: Bytes,
+}
+
+/// An invoker at one address.
+pub struct HttpInvoker {
+    pub invoker: u32,
+    pub controller: Who,
+    pub takes: Duration,
+    pub spoilt: Cell<Spoilt>,
+    pub arrived: RefCell<Vec<Arrived>>,
+    pub connections: Cell<usize>,
+    pub accepted: Cell<usize>,
+    hops: Rc<RefCell<BTreeMap<u64, u8>>>,
+    record: Record,
+    clock: Clock,
+}
+
+/// The number and the try that an id was made of.
+pub fn try_of(txn: u64) -> Try {
+    Try { n: txn >> 8, attempt: (txn & 0xff) as u32 }
+}
+
+impl HttpInvoker {
+    /// `hops` is shared by all invokers of a test, and counts how often each id was sent.
+    pub fn new(
+        invoker: u32,
+        controller: Who,
+        takes: Duration,
+        hops: Rc<RefCell<BTreeMap<u64, u8>>>,
+        record: Record,
+        clock: Clock,
+    ) -> Rc<Self> {
+        let (spoilt, arrived, connections, accepted) = Default::default();
+        Rc::new(Self {
+            invoker,
+            controller,
+            takes,
+            spoilt,
+            arrived,
+            connections,
+            accepted,
+            hops,
+            record,
+            clock,
+        })
+    }
+
+    /// Takes connections for as long as the test lives.
+    pub async fn serve(self: Rc<Self>, network: Rc<dyn Network>, at: SocketAddrV4) {
+        let listening = network.listen(&Address::Tcp(at.to_string())).await;
+        let (mut door, _) = listening.expect("an address of its own");
+        while let Ok(stream) = door.accept().await {
+            self.accepted.set(self.accepted.get() + 1);
+            if self.spoilt.get() == Spoilt::ClosedUnread {
+                continue;
+            }
+            let this = self.clone();
+            spawn_local(async move {
+                this.connections.set(this.connections.get() + 1);
+                this.attend(stream).await;
+                this.connections.set(this.connections.get() - 1);
+            });
+        }
+    }
+
+    async fn attend(&self, mut stream: Stream) {
+        let mut read = BytesMut::new();
+        while let Some(arrived) = request(&mut stream, &mut read, self.clock).await {
+            self.arrived.borrow_mut().push(arrived.clone());
+            let goes_on = match arrived.fields.get("x-txn") {
+                Some(txn) => self.run(&mut stream, &arrived, txn).await,
+                None => self.order(&mut stream, &arrived).await,
+            };
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    async fn order(&self, stream: &mut Stream, a: &Arrived) -> bool {
+        let parts: Vec<&str> = a.path.split('/').collect();
+        let function = parts.get(2).and_then(|f| u64::from_str_radix(f, 16).ok()).unwrap_or(0);
+        let count: u8 = parts.get(3).and_then(|n| n.parse().ok()).unwrap_or(0);
+        if a.method == "PUT" {
+            let (at, earliest, invoker, who) = (a.at, a.at, self.invoker, self.controller);
+            self.record.note(Line::Ordered { at, earliest, invoker, who, function, count });
+        }
+        let text = match a.method.as_str() {
+            "DELETE" => "HTTP/1.1 204 No Content\r\n\r\n".to_owned(),
+            _ => format!("HTTP/1.1 200 OK\r\nX-Units: {count}\r\nContent-Length: 0\r\n\r\n"),
+        };
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    async fn run(&self, stream: &mut Stream, a: &Arrived, txn: &str) -> bool {
+        let id = u64::from_str_radix(txn, 16).unwrap_or(0);
+        let hop = {
+            let mut hops = self.hops.borrow_mut();
+            let hop = hops.entry(id).or_insert(0);
+            *hop += 1;
+            *hop - 1
+        };
+        let (who, invoker, of, invocation) = (self.controller, self.invoker, try_of(id), (id >> 8) as u32);
+        let trigger = a.path.trim_start_matches("/obj/").to_owned();
+        let (at, earliest) = (a.at, a.at);
+        self.record.note(Line::Dispatched { at, earliest, invoker, who, invocation, hop, of, trigger });
+        let spoilt = self.spoilt.get();
+        let never = matches!(spoilt, Spoilt::Miss | Spoilt::Full | Spoilt::Over);
+        if !never {
+            let (at, token) = (self.clock.now(), a.fields.get("x-dedupe").cloned());
+            self.record.note(Line::Ran { at, invoker, who, invocation, hop, of, token, repeat: false });
+        }
+        let mut byte = [0];
+        tokio::select! {
+            () = tokio::time::sleep(self.takes), if !never => {}
+            () = async {}, if never => {}
+            got = stream.read(&mut byte) => {
+                // Given up, or something out of turn.
+                let at = self.clock.now();
+                self.record.note(Line::Cancelled { at, invoker, who, invocation, hop });
+                assert!(!matches!(got, Ok(1..)), "a second request before the first was answered");
+                return false;
+            }
+        }
+        let ended = |ended: &str, told| {
+            let (at, ended) = (self.clock.now(), ended.to_owned());
+            self.record.note(Line::Ended { at, invoker, who, invocation, hop, of, ended, told });
+        };
+        let body = format!("ran {txn} {}", a.body.len());
+        let well =
+            format!("HTTP/1.1 200 OK\r\nX-How: resident\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let (text, goes_on) = match spoilt {
+            Spoilt::No => (well, true),
+            Spoilt::Early1xx => (format!("HTTP/1.1 102 Processing\r\n\r\n{well}"), true),
+            Spoilt::NoiseAfter => (format!("{well}\u{1}\u{2}noise"), false),
+            Spoilt::TwiceOver => (format!("{well}{well}"), false),
+            Spoilt::NoiseForHead => ("\u{1}\u{2}\u{3} what is this\r\n\r\n".to_owned(), true),
+            Spoilt::HeadWithoutEnd => (format!("HTTP/1.1 200 OK\r\nX-A: {}", "a".repeat(100_000)), true),
+            Spoilt::LengthsContradict => (well.replace("X-How", "Content-Length: 3\r\nX-How"), true),
+            Spoilt::ThreeGigabytes => (
+                format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{}", "x".repeat(500_000)),
+                true,
+            ),
+            Spoilt::ShortBody => (well[..well.len() - 3].to_owned(), false),
+            Spoilt::ResetAfterReading => (String::new(), false),
+            Spoilt::Silent => {
+                ended("lost", false);
+                std::future::pending::<()>().await;
+                return false;
+            }
+            Spoilt::Miss => ("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned(), true),
+            Spoilt::Full => ("HTTP/1.1 503 Full\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n".to_owned(), true),
+            Spoilt::Over => ("HTTP/1.1 504 Over\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n".to_owned(), true),
+            Spoilt::Errored => ("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned(), true),
+            Spoilt::ClosedUnread => return false,
+        };
+        match spoilt {
+            Spoilt::Miss => ended("miss", true),
+            Spoilt::Full | Spoilt::Over => ended("full", true),
+            _ => ended("run", true),
+        }
+        stream.write_all(text.as_bytes()).await.is_ok() && goes_on
+    }
+}
+
+/// Reads one request, whole.
+async fn request(stream: &mut Stream, read: &mut BytesMut, clock: Clock) -> Option<Arrived> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut head = httparse::Request::new(&mut headers);
+        if let Ok(httparse::Status::Complete(end)) = head.parse(read) {
+            let field = |h: &httparse::Header| {
+                (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned())
+            };
+            let fields: BTreeMap<String, String> = head.headers.iter().map(field).collect();
+            let length = fields.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+            if read.len() >= end + length {
+                let (method, path) = (head.method?.to_owned(), head.path?.to_owned());
+                read.advance(end);
+                let body = read.split_to(length).freeze();
+                return Some(Arrived { at: clock.now(), method, path, fields, body });
+            }
+        }
+        if stream.read_buf(read).await.unwrap_or(0) == 0 {
+            return None;
+        }
+    }
+}
+
+/// How the feed misbehaves at its next event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Torn {
+    #[default]
+    No,
+    /// Half the event, then a close; whole when it is asked for again.
+    Half,
+    /// Written twice.
+    Twice,
+    /// Nothing more, and the connection stays.
+    Stalls,
+    /// A length that can't be.
+    Length,
+}
+
+/// The control feed.
+pub struct Feed {
+    pub events: RefCell<Vec<(u64, Event)>>,
+    pub torn: Cell<Torn>,
+    pub asked: RefCell<Vec<u64>>,
+    controller: Who,
+    more: Notify,
+    record: Record,
+    clock: Clock,
+}
+
+impl Feed {
+    pub fn new(controller: Who, record: Record, clock: Clock) -> Rc<Self> {
+        let (events, torn, asked, more) = Default::default();
+        Rc::new(Self { events, torn, asked, controller, more, record, clock })
+    }
+
+    /// The next event, told from now on.
+    pub fn say(&self, number: u64, event: Event) {
+        if let Event::Whole(lines) | Event::Changes(lines) = &event {
+            for l in lines {
+                let life = match l.life {
+                    Life::Ready => "ready",
+                    Life::Draining => "draining",
+                    Life::Gone => "gone",
+                };
+                let (at, who, invoker) = (self.clock.now(), self.controller, l.invoker);
+                let incarnation = l.started_ms.unwrap_or(0);
+                self.record.note(Line::Told { at, who, invoker, incarnation, life: life.into() });
+            }
+        }
+        self.events.borrow_mut().push((number, event));
+        self.more.notify_waiters();
+    }
+
+    pub async fn serve(self: Rc<Self>, network: Rc<dyn Network>, at: SocketAddrV4) {
+        let listening = network.listen(&Address::Tcp(at.to_string())).await;
+        let (mut door, _) = listening.expect("an address of its own");
+        while let Ok(stream) = door.accept().await {
+            spawn_local(self.clone().attend(stream));
+        }
+    }
+
+    async fn attend(self: Rc<Self>, mut stream: Stream) {
+        let Ok(mut last) = stream.read_u64().await else { return };
+        self.asked.borrow_mut().push(last);
+        loop {
+            let next = self.events.borrow().iter().find(|(n, _)| *n > last).cloned();
+            let Some((n, event)) = next else {
+                tokio::select! {
+                    () = self.more.notified() => {}
+                    () = tokio::time::sleep(Duration::from_secs(1)) => {
+                        if self.torn.get() == Torn::Stalls || stream.write_all(&feed::encode(last, &Event::Nothing)).await.is_err() {
+                            return std::future::pending().await;
+                        }
+                    }
+                }
+                continue;
+            };
+            let bytes = feed::encode(n, &event);
+            let torn = self.torn.replace(Torn::No);
+            let wrote = match torn {
+                Torn::No => stream.write_all(&bytes).await,
+                Torn::Twice => stream.write_all(&[bytes.clone(), bytes].concat()).await,
+                Torn::Half => {
+                    let _ = stream.write_all(&bytes[..bytes.len() / 2]).await;
+                    return;
+                }
+                Torn::Stalls => return std::future::pending().await,
+                Torn::Length => {
+                    let _ = stream.write_all(&[0xff; 13]).await;
+                    return std::future::pending().await;
+                }
+            };
+            if wrote.is_err() {
+                return;
+            }
+            last = n;
+        }
+    }
+}
+
+/// One line of the feed, as tests write it.
+pub fn listing(invoker: u32, address: SocketAddrV4, life: Life, started_ms: Option<u64>) -> Listing {
+    Listing { invoker, address, life, zone: 0, kind: 0, cell: 0, size: 4.0, started_ms }
+}
+
+/// What a client asks for.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub n: u64,
+    pub attempt: u32,
+    pub trigger: String,
+    pub function: u64,
+    pub limit_ms: u64,
+    pub token: Option<String>,
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    pub fn txn(&self) -> String {
+        format!("{:016x}", self.n << 8 | u64::from(self.attempt))
+    }
+
+    /// The frame of it on a stream.
+    pub fn frame(&self, stream: u32) -> Bytes {
+        let (txn, limit, item) = (self.txn(), self.limit_ms.to_string(), format!("{:016x}", self.function));
+        let mut fields = vec![
+            ("verb", self.trigger.as_str()),
+            ("txn", &txn),
+            ("limit", &limit),
+            ("item", &item),
+            ("extras", "memory_mb:512;lanes:4;load_ms:300"),
+        ];
+        if let Some(token) = &self.token {
+            fields.push(("unique", token));
+        }
+        frames::invoke(stream, &fields, &self.body)
+    }
+}
+
+/// An answer as a client reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answered {
+    pub stream: u32,
+    pub code: u8,
+    pub later_ms: Option<u64>,
+    pub body: Bytes,
+}
+
+/// A frame from a controller, or its connection's end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Answer(Answered),
+    Ready { stream: u32, code: u8 },
+    GoAway,
+}
+
+/// A client with one connection.
+pub struct FrameClient {
+    pub stream: Stream,
+    read: BytesMut,
+    next: u32,
+    open: BTreeMap<u32, Try>,
+    controller: Who,
+    record: Record,
+    clock: Clock,
+}
+
+impl FrameClient {
+    pub async fn dial(
+        network: &dyn Network,
+        at: SocketAddrV4,
+        controller: Who,
+        record: Record,
+        clock: Clock,
+    ) -> std::io::Result<Self> {
+        let stream = network.dial(&Address::Tcp(at.to_string())).await?;
+        Ok(Self { stream, read: BytesMut::new(), next: 1, open: BTreeMap::new(), controller, record, clock })
+    }
+
+    pub async fn ask(&mut self, call: &Call) -> u32 {
+        let stream = self.next;
+        self.next += 1;
+        let of = Try { n: call.n, attempt: call.attempt };
+        self.open.insert(stream, of);
+        let sent = self.stream.write_all(&call.frame(stream)).await;
+        if sent.is_ok() {
+            self.record.note(Line::Sent {
+                at: self.clock.now(),
+                who: self.controller,
+                of,
+                tenant: String::new(),
+                trigger: call.trigger.clone(),
+                function: format!("{:x}", call.function),
+                timeout: call.limit_ms * 10,
+                work: 0,
+            });
+        }
+        stream
+    }
+
+    /// Nobody waits for this stream any more.
+    pub async fn leave(&mut self, stream: u32) {
+        if let Some(of) = self.open.remove(&stream) {
+            self.record.note(Line::HungUp { at: self.clock.now(), of });
+        }
+        let _ = self.stream.write_all(&frames::bare(18, stream)).await;
+    }
+
+    /// The next frame; `None`: the connection has ended.
+    pub async fn hear(&mut self) -> Option<Heard> {
+        loop {
+            if let Some(heard) = self.cut() {
+                return Some(heard);
+            }
+            if self.stream.read_buf(&mut self.read).await.unwrap_or(0) == 0 {
+                return None;
+            }
+        }
+    }
+
+    fn cut(&mut self) -> Option<Heard> {
+        let length = u32::from_be_bytes(self.read.get(..4)?.try_into().ok()?) as usize;
+        if self.read.len() < 4 + length {
+            return None;
+        }
+        let mut frame = self.read.split_to(4 + length).freeze();
+        frame.advance(4);
+        let (kind, stream) = (frame.get_u8(), frame.get_u32());
+        Some(match kind {
+            48 => Heard::GoAway,
+            33 => Heard::Ready { stream, code: frame.get_u8() },
+            17 => {
+                let code = frame.get_u8();
+                let fields = frames::fields(&mut frame).expect("fields of an answer");
+                let later = fields.iter().find(|(n, _)| n == "later").map(|(_, v)| v);
+                let later_ms = later.and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
+                self.note(stream, code);
+                Heard::Answer(Answered { stream, code, later_ms, body: frame })
+            }
+            kind => panic!("frame type {kind} from a controller"),
+        })
+    }
+
+    fn note(&mut self, stream: u32, code: u8) {
+        let how = match code {
+            c if c == Code::Succeeded as u8 => How::Succeeded,
+            c if c == Code::Throttled as u8 => How::Throttled,
+            _ => How::Errored,
+        };
+        let at = self.clock.now();
+        if let Some(of) = self.open.get(&stream) {
+            self.record.note(Line::Final { at, earliest: at, of: *of, how });
+        }
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -327,6 +327,17 @@
         }
     }
 
+    /// What is believed of each invoker that is ready.
+    pub fn beliefs(&self, now: Tenths) -> Vec<Belief> {
+        let fleet = self.slow.0;
+        let ready = self.invokers.iter().filter(|(_, v)| v.listed.life == Life::Ready);
+        let belief = |(w, v): (&InvokerId, &Invoker)| {
+            let (slow, shut) = (v.slow(now, fleet), now < v.shut_until);
+            Belief { invoker: *w, out: v.out, slow, errors: v.errors, shut }
+        };
+        ready.map(belief).collect()
+    }
+
     /// Rule 2: whether sending it to `to` at `at`, or without `to` throttling it, can do no harm.
     fn harmless(&self, inv: &Inv, to: Option<InvokerId>, at: Tenths) -> bool {
         let row = &self.rows[inv.call.trigger].stated;
@@ -653,6 +664,9 @@
         }
         let longest = self.rows.iter().map(|r| r.stated.client_timeout).max().unwrap_or(0);
         self.functions.retain(|_, f| now < f.called + FORGET + longest || !f.places.is_empty());
+        // Ids are never used again: who is gone is kept only while an invocation sent there may be in question.
+        let asked = |v: &Invoker| v.out > 0 || v.sent.back().is_some_and(|(at, _)| now < at + 2 * longest);
+        self.invokers.retain(|_, v| v.listed.life != Life::Gone || asked(v));
         while self.taken.pop_front_if(|at| *at + self.d.order_window.max(SECOND) <= now).is_some() {}
         let memory = |v: &Invoker| self.d.kind_memory.get(usize::from(v.listed.kind)).copied().unwrap_or(0.0);
         let total: f64 = self.invokers.values().filter(|v| v.listed.life == Life::Ready).map(memory).sum();
--- a/src/port.rs
+++ b/src/port.rs
@@ -181,6 +181,20 @@
     pub took: Tenths,
 }
 
+/// What a controller believes of an invoker, for logs and for those who compare it with what the sockets saw.
+#[derive(Clone, Copy, Debug)]
+pub struct Belief {
+    pub invoker: InvokerId,
+    /// Dispatches that are out there.
+    pub out: u32,
+    /// Time taken over time expected.
+    pub slow: f64,
+    /// Share of recent dispatches that ended ill.
+    pub errors: f64,
+    /// Nothing is sent there for now.
+    pub shut: bool,
+}
+
 /// All that a controller can do.
 pub trait Acts {
     /// `time_out` 0: until the client gives up.
