What the module answers in a timer's turn is forgotten; node builds without the laboratory

Cause: desk.rs, Desk::answer took the reply and left the invocation in the table unless a dispatch's end or a client's leaving came after; what was throttled after a wait stayed for good, its input held against the byte budget. Now answer() forgets as well; test what_is_given_up_after_a_wait_is_forgotten_as_well. The command line's laboratory is behind the feature 'whole' (default); deploy builds without it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,15 +2,22 @@
 
 #![expect(clippy::disallowed_methods, reason = "seeds and times of what runs for real come from here")]
 
+#[cfg(feature = "whole")]
 mod lab;
+#[cfg(feature = "whole")]
 mod layers;
+#[cfg(feature = "whole")]
 mod load;
 mod node;
+#[cfg(feature = "whole")]
 mod registry;
+#[cfg(feature = "whole")]
 mod run;
 
 use clap::{Parser, Subcommand};
+#[cfg(feature = "whole")]
 use saltdrum_controller::{Make, at_random, by_design};
+#[cfg(feature = "whole")]
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -27,6 +34,7 @@
 
 #[derive(Subcommand)]
 enum What {
+    #[cfg(feature = "whole")]
     /// Runs controllers, each on a thread of its own, until interrupted.
     Serve {
         /// Starlark script of the deployment.
@@ -64,9 +72,11 @@
     },
     /// Runs one real controller of the platform: RELAY_CONFIG names its configuration. Ends after SIGTERM.
     Node,
+    #[cfg(feature = "whole")]
     /// Runs one stand-in until interrupted.
     #[command(subcommand)]
     Standin(Standin),
+    #[cfg(feature = "whole")]
     /// Plays a scripted day on loopback sockets and judges the five rules.
     Play {
         /// A script, or the name of a day that comes with the program.
@@ -82,17 +92,21 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    #[cfg(feature = "whole")]
     /// Sends load to controllers, open loop, and tells what came of it.
     Load(load::Load),
+    #[cfg(feature = "whole")]
     /// Compares changes, and searches for days that fail.
     #[command(subcommand)]
     Lab(lab::Lab),
+    #[cfg(feature = "whole")]
     /// Judges the five rules by a record.
     Check {
         record: PathBuf,
         #[arg(long)]
         json: bool,
     },
+    #[cfg(feature = "whole")]
     /// Calls a function and prints the answer.
     Call {
         /// Where a controller takes clients in.
@@ -118,12 +132,15 @@
         #[arg(long)]
         version: Option<String>,
     },
+    #[cfg(feature = "whole")]
     /// Models as chunks.
     #[command(subcommand)]
     Layers(layers::Layers),
+    #[cfg(feature = "whole")]
     /// Versions of models, and the names that stand for them.
     #[command(subcommand)]
     Registry(registry::Registry),
+    #[cfg(feature = "whole")]
     /// Prints a controller's status.
     Status {
         #[arg(long)]
@@ -131,6 +148,7 @@
     },
 }
 
+#[cfg(feature = "whole")]
 #[derive(Subcommand)]
 enum Standin {
     /// One invoker of the deployment.
@@ -199,6 +217,7 @@
         logs.init();
     }
     let done = match args.what {
+        #[cfg(feature = "whole")]
         What::Serve {
             deployment,
             list,
@@ -217,6 +236,7 @@
             run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, &names, make)
         }
         What::Node => node::run(),
+        #[cfg(feature = "whole")]
         What::Standin(Standin::Invoker {
             deployment,
             number,
@@ -232,21 +252,32 @@
             let names = run::Names { registry, key: registry_key, copies: None, passage_s: 0 };
             run::invoker(&deployment, number, &listen, store.as_deref(), &names, faults)
         }
+        #[cfg(feature = "whole")]
         What::Standin(Standin::Store { listen, limit }) => run::store(&listen, limit),
+        #[cfg(feature = "whole")]
         What::Standin(Standin::Registry { folder, listen, limit }) => run::registry(&folder, &listen, limit),
+        #[cfg(feature = "whole")]
         What::Standin(Standin::List { deployment, listen, invokers }) => {
             run::list(&deployment, &listen, &invokers)
         }
+        #[cfg(feature = "whole")]
         What::Play { day, virtually, json, record } => run::play(&day, virtually, json, record.as_deref()),
+        #[cfg(feature = "whole")]
         What::Check { record, json } => run::check(&record, json),
+        #[cfg(feature = "whole")]
         What::Call { to, function, tenant, trigger, input, time_left_ms, token, passage, version } => {
             let passage = (passage, version);
             run::call(&to, &function, &tenant, &trigger, &input, time_left_ms, token, passage)
         }
+        #[cfg(feature = "whole")]
         What::Lab(what) => lab::run(&what),
+        #[cfg(feature = "whole")]
         What::Load(said) => load::run(&said),
+        #[cfg(feature = "whole")]
         What::Layers(what) => layers::run(&what),
+        #[cfg(feature = "whole")]
         What::Registry(what) => registry::run(&what),
+        #[cfg(feature = "whole")]
         What::Status { to } => run::status(&to),
     };
     match done {
--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -281,7 +281,7 @@
     fn answer(&mut self, id: InvId, how: Final) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(owed) = inv.owed.take() else { return };
-        let _in = inv.span.enter();
+        let _in = inv.span.clone().entered();
         let counts = &mut self.counts;
         if self.now >= inv.gone {
             counts.too_late += 1;
@@ -295,7 +295,12 @@
             }
             Final::Throttled(wait) => {
                 counts.throttled += 1;
-                debug!(outcome = "throttled", wait_ms = wait / MILLI);
+                debug!(
+                    outcome = "throttled",
+                    wait_ms = wait / MILLI,
+                    hops = inv.hops,
+                    left_ms = (inv.gone - self.now) / MILLI
+                );
             }
             Final::Errored(why) => {
                 counts.errored += 1;
@@ -303,6 +308,9 @@
             }
         }
         owed.answer(id, how, inv.hops, inv.gone);
+        // Also where the module answers in a timer's turn, on nobody's call: else it would stay for good.
+        drop(_in);
+        self.forget_ended(id);
     }
 
     /// Nothing is out for it and nothing owed: it is forgotten.
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -553,6 +553,27 @@
     });
 }
 
+/// Found on sockets: what the module answered in a timer's turn stayed in the tables, its input with it.
+#[test]
+fn what_is_given_up_after_a_wait_is_forgotten_as_well() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 256).await;
+        stage.invokers.values().for_each(|i| i.spoilt.set(Spoilt::Miss));
+        let mut client = stage.client().await;
+        for n in 0..30 {
+            client
+                .ask(&Call { function: 5_000 + n, limit_ms: 800, body: vec![1; 100], ..stage.call("look") })
+                .await;
+        }
+        for _ in 0..30 {
+            assert_eq!(answer(&mut client).await.code, Code::Throttled as u8);
+        }
+        pass(100).await;
+        let (sizes, _, in_flight) = stage.sizes();
+        assert_eq!((in_flight, sizes.bytes, sizes.jobs), (0, 0, 0));
+    });
+}
+
 /// Hundreds connect at once and say nothing, and invokers never answer: the limit on descriptors holds.
 #[test]
 fn a_low_limit_on_descriptors_holds_in_a_crowd() {
