--- a/crates/platform-wire/src/frames.rs
+++ b/crates/platform-wire/src/frames.rs
@@ -195,6 +195,16 @@
     Ok(request)
 }
 
+fn put_fields(out: &mut BytesMut, fields: &[(&str, &str)]) {
+    out.put_u8(fields.len() as u8);
+    for (name, value) in fields {
+        out.put_u8(name.len() as u8);
+        out.put_slice(name.as_bytes());
+        out.put_u16(value.len() as u16);
+        out.put_slice(value.as_bytes());
+    }
+}
+
 fn frame(kind: u8, stream: u32, code: Option<u8>, fields: &[(&str, &str)], body: &[u8]) -> Bytes {
     let coded = usize::from(code.is_some());
     let named: usize = fields.iter().map(|(n, v)| 3 + n.len() + v.len()).sum();
@@ -205,13 +215,7 @@
     out.put_u32(stream);
     if let Some(code) = code {
         out.put_u8(code);
-        out.put_u8(fields.len() as u8);
-        for (name, value) in fields {
-            out.put_u8(name.len() as u8);
-            out.put_slice(name.as_bytes());
-            out.put_u16(value.len() as u16);
-            out.put_slice(value.as_bytes());
-        }
+        put_fields(&mut out, fields);
     }
     out.put_slice(body);
     out.freeze()
@@ -240,13 +244,7 @@
 /// Writes an invocation as clients do, for those who play them.
 pub fn invoke(stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Bytes {
     let mut payload = BytesMut::new();
-    payload.put_u8(fields.len() as u8);
-    for (name, value) in fields {
-        payload.put_u8(name.len() as u8);
-        payload.put_slice(name.as_bytes());
-        payload.put_u16(value.len() as u16);
-        payload.put_slice(value.as_bytes());
-    }
+    put_fields(&mut payload, fields);
     payload.put_slice(body);
     frame(16, stream, None, &[], &payload)
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -552,6 +552,36 @@
     });
 }
 
+/// What the module takes for load is what has arrived at each invoker and is not answered.
+#[test]
+fn what_is_believed_to_be_out_is_at_the_invokers() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 256).await;
+        let mut client = stage.client().await;
+        let asked = |w: u32| {
+            let arrived = stage.invokers[&w].arrived.borrow();
+            arrived.iter().filter(|a| a.fields.contains_key("x-txn")).count()
+        };
+        for _ in 0..3 {
+            client.ask(&stage.call("look")).await;
+            answer(&mut client).await;
+        }
+        let before = [asked(1), asked(2)];
+        for _ in 0..9 {
+            client.ask(&stage.call("look")).await;
+        }
+        pass(10).await;
+        let beliefs = stage.front.see(|s| s.module.beliefs(s.desk.now));
+        let out: Vec<usize> = beliefs.iter().map(|b| b.out as usize).collect();
+        assert_eq!(out, [asked(1) - before[0], asked(2) - before[1]]);
+        assert_eq!(out.iter().sum::<usize>(), 9);
+        assert!(beliefs.iter().all(|b| !b.shut && b.errors == 0.0));
+        pass(200).await;
+        let beliefs = stage.front.see(|s| s.module.beliefs(s.desk.now));
+        assert!(beliefs.iter().all(|b| b.out == 0), "{beliefs:?}");
+    });
+}
+
 /// Found on sockets: what the module answered in a timer's turn stayed in the tables, its input with it.
 #[test]
 fn what_is_given_up_after_a_wait_is_forgotten_as_well() {
