A line's count starts with its request; what is settled too late is forgotten

Found by rereading. Lines::start handed a reused line's socket to the job before begin(): taken back in the same turn, its dispatch was told by the request before it (left whole: may have run), so what may not run twice erred where it could be throttled. And Desk::answer returned before forgetting where the client timeout had passed: such invocations stayed for good.

--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -286,7 +286,9 @@
         if self.now >= inv.gone {
             counts.too_late += 1;
             warn!("settled after the client timeout: nothing is sent");
-            return owed.drop_out(id);
+            owed.drop_out(id);
+            drop(_in);
+            return self.forget_ended(id);
         }
         match how {
             Final::Succeeded(_) => {
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -40,7 +40,8 @@
         Self { stream, clock, left, head, body, cutoff }
     }
 
-    fn begin(&self, body: usize, cutoff: Rc<Cell<Tenths>>) {
+    /// Another request is to go over it: what left of the one before is no longer counted.
+    pub fn begin(&self, body: usize, cutoff: Rc<Cell<Tenths>>) {
         self.left.set(0);
         self.head.set(0);
         self.body.set(body as u64);
--- a/crates/platform/src/reach.rs
+++ b/crates/platform/src/reach.rs
@@ -205,6 +205,8 @@
         pool.under_way += 1;
         self.last += 1;
         let cutoff = if new_work { pool.cutoff.clone() } else { Rc::new(Cell::new(Tenths::MAX)) };
+        // At once: who takes it back before its task had a turn must not be told of the request before.
+        line.iter().for_each(|l| l.socket.begin(body, cutoff.clone()));
         let ask = Ask {
             front,
             invoker,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -664,7 +664,7 @@
         }
         let longest = self.rows.iter().map(|r| r.stated.client_timeout).max().unwrap_or(0);
         self.functions.retain(|_, f| now < f.called + FORGET + longest || !f.places.is_empty());
-        // Ids are never used again: who is gone is kept only while an invocation sent there may be in question.
+        // Ids are never used again: who is gone is kept while an invocation sent there may be in question.
         let asked = |v: &Invoker| v.out > 0 || v.sent.back().is_some_and(|(at, _)| now < at + 2 * longest);
         self.invokers.retain(|_, v| v.listed.life != Life::Gone || asked(v));
         while self.taken.pop_front_if(|at| *at + self.d.order_window.max(SECOND) <= now).is_some() {}
