--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -182,6 +182,9 @@
     static TOLD: RefCell<Vec<(Outcome, bool)>> = const { RefCell::new(Vec::new()) };
 }
 
+/// What is dispatched for it is cancelled in the same turn.
+const TAKEN_BACK: FnId = 0xbac;
+
 /// Sends everything to invoker 1 and answers by what came of it; keeps what it was told.
 struct First;
 
@@ -194,6 +197,9 @@
     fn listed(&mut self, _: Tenths, _: bool, _: &[Listed]) {}
     fn invoked(&mut self, _: Tenths, call: Invocation, acts: &mut dyn Acts) {
         acts.dispatch(call.id, 1, 0);
+        if call.function == TAKEN_BACK {
+            acts.cancel(call.id, 0);
+        }
     }
     fn left(&mut self, _: Tenths, _: InvId) {}
     fn answered(&mut self, _: Tenths, a: Answer, acts: &mut dyn Acts) {
@@ -276,6 +282,21 @@
     });
 }
 
+/// Found by reading: on a line used before, it was told by the request before.
+#[test]
+fn what_is_taken_back_before_it_left_never_ran_on_a_used_line_either() {
+    staged(|| async {
+        let stage = Stage::new(first, &[1], 256).await;
+        let mut client = stage.client().await;
+        client.ask(&stage.call("book")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        client.ask(&Call { function: TAKEN_BACK, ..stage.call("book") }).await;
+        assert_eq!(answer(&mut client).await.code, Code::Throttled as u8);
+        assert_eq!(TOLD.take()[1..], [(Outcome::NotSent, false)]);
+        assert_eq!(stage.invokers[&1].arrived.borrow().len(), 1);
+    });
+}
+
 #[test]
 fn ids_fields_and_bytes_pass_unchanged() {
     staged(|| async {
