Pools are filled a part a look: one turn over all of them stood a controller still

A probe of timer turns: 1,026 above 4 ms over 273 controllers, all of them `plan`, 36 ms at the worst (395 functions, list changed to version 8, so 395 rendezvous orders were made anew). At fault: `plan` calling `order` and `fill_pool` for every function in one turn.

Change: sizes are still planned each second in one turn; the pools they leave are filled a twentieth a look, in the same order of worth. The test bounds orders a turn by count and fails without the change (more than 10 at once).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -178,6 +178,10 @@
     taken: VecDeque<Tenths>,
     orders: VecDeque<Tenths>,
     orders_out: usize,
+    /// Functions whose pools the last plan left to fill, and how many a look fills: all in one turn, after a change
+    /// of the list, took a busy controller 36 ms, and answers that fell due meanwhile came after the client timeout.
+    to_fill: VecDeque<FnId>,
+    fills: usize,
     /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
     moves: f64,
     cold: f64,
@@ -691,7 +695,6 @@
         let part = ready as f64 / f64::from(self.d.controllers);
         self.moves = (self.moves + part).min(part.max(1.0));
         for (_, fid, members) in want {
-            self.order(fid);
             let Some(f) = self.functions.get_mut(&fid) else { continue };
             let extra = (members - 1).min((room / f.memory.max(1.0)).max(0.0) as usize);
             room -= extra as f64 * f.memory;
@@ -700,13 +703,16 @@
             } else if now >= *f.surplus_since.get_or_insert(now) + DWELL {
                 (f.members, f.surplus_since) = (f.members - 1, Some(now));
             }
-            self.fill_pool(fid, acts);
+            self.to_fill.push_back(fid);
         }
+        self.fills = self.to_fill.len().div_ceil((PLAN_EVERY / LOOK_EVERY) as usize);
     }
 
     /// Orders holds for members without a warm belief, and renews those about to lapse.
     fn fill_pool(&mut self, fid: FnId, acts: &mut dyn Acts) {
-        let (now, keep, f) = (self.now, self.d.keep_alive, &self.functions[&fid]);
+        self.order(fid);
+        let (now, keep) = (self.now, self.d.keep_alive);
+        let Some(f) = self.functions.get(&fid) else { return };
         let able = |w: &&InvokerId| self.invokers[*w].well(now);
         let members: Vec<InvokerId> = f.order.iter().filter(able).take(f.members).copied().collect();
         let Some(f) = self.functions.get_mut(&fid) else { return };
@@ -821,6 +827,9 @@
         };
         let late: Vec<InvId> = self.invs.iter().filter(late).map(|(id, _)| *id).collect();
         late.into_iter().for_each(|id| self.move_off(id, acts));
+        for fid in self.to_fill.drain(..self.fills.min(self.to_fill.len())).collect::<Vec<_>>() {
+            self.fill_pool(fid, acts);
+        }
     }
 
     /// A cancel, whose outcome sends it on, if a try is left and a repeat does no harm.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -377,3 +377,27 @@
     }
     assert!(by_small > 10, "{by_small} of {} to the cold one are from small controllers", sent.len());
 }
+
+/// Found on fleet days: filled all in one turn after a change of the list, 400 pools took 36 ms of a small machine, and
+/// what fell due meanwhile was answered after the client timeout.
+#[test]
+fn pools_are_filled_a_part_at_a_time_and_all_within_a_second() {
+    let mut d = deployment();
+    d.controllers = 1;
+    let mut bed = Bed::new(d, 300);
+    for function in 0..200 {
+        bed.invoke(0, function, 4 * SECOND);
+    }
+    bed.pass(RUN);
+    answer_run(&mut bed, RUN);
+    let entries: Vec<_> = (301..=600).map(|w| listed(w, Life::Ready, None)).collect();
+    bed.list(true, &entries);
+    let since = bed.k.now;
+    bed.pass(2 * SECOND);
+    let mut turns = std::collections::BTreeMap::new();
+    let new = bed.k.holds.iter().filter(|(.., at)| *at >= since);
+    new.for_each(|(.., at)| *turns.entry(*at).or_insert(0) += 1);
+    let functions: BTreeSet<FnId> = bed.k.holds.iter().map(|(_, f, _)| *f).collect();
+    assert!(turns.values().all(|orders| *orders <= 10), "{turns:?}");
+    assert_eq!(functions.len(), 200);
+}
