An answer that is late by a controller's own stop is still sent, for half a second

Two places dropped such an answer: `Desk::answer` with the warning, and, silently, the client's outbox, whose `until` was the client timeout. Ruled out: connections that ended with something open (59, bad clients alone), answers over the outbox's bound, invocations not taken (all were answered).

Change: on the platform's path an answer is owed until half a second after the client timeout, or until the client leaves. The time by which the module has to settle is as before. The test stands the controller still over a timeout and fails without the change.

--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -115,7 +115,7 @@
     pub left: u64,
     /// Read after their client had given up: not taken.
     pub stale: u64,
-    /// Settled, but the client timeout had passed: nothing was sent.
+    /// Settled, but no answer was owed any more: nothing was sent.
     pub too_late: u64,
     pub dispatches: u64,
     pub orders: u64,
@@ -144,7 +144,7 @@
     carried: R::Carried,
     function: FnId,
     expires: Tenths,
-    /// When the client stops waiting: nothing is sent from then on.
+    /// When no answer is owed any more: nothing is sent from then on.
     gone: Tenths,
     owed: Option<R::Owed>,
     hops: u8,
@@ -285,7 +285,7 @@
         let counts = &mut self.counts;
         if self.now >= inv.gone {
             counts.too_late += 1;
-            warn!("settled after the client timeout: nothing is sent");
+            warn!("settled after an answer was owed: nothing is sent");
             owed.drop_out(id);
             drop(_in);
             return self.forget_ended(id);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -17,6 +17,9 @@
 const ANSWERS_MOST_BYTES: usize = 1 << 20;
 /// Taken off what a client says it will wait, for the answer's way back.
 const ANSWER_MARGIN: Tenths = 10 * MILLI;
+/// A client that has not left is owed its answer for so long after its client timeout: such a one earns nothing, and
+/// without it the invocation counts as lost. Only a controller that stood still comes so late.
+const ANSWER_OWED: Tenths = 500 * MILLI;
 /// Who has said nothing whole for this long since it came has nothing to say.
 const SILENT_MOST: Tenths = 2 * SECOND;
 /// A frame that has begun is whole after this, or never will be.
@@ -360,6 +363,6 @@
         load_hint: request.load_ms.map(tenths),
     };
     let span = info_span!("invocation", id, txn = format_args!("{txn:016x}"));
-    state.taken(invocation, gone, carried, reply, span);
+    state.taken(invocation, gone + ANSWER_OWED, carried, reply, span);
     Ok(())
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -297,6 +297,24 @@
     });
 }
 
+/// Found on a fleet day as lost: a busy controller had no turn for 40 ms, settled after the client timeout, and kept the
+/// answer to itself, though its client still waited.
+#[test]
+fn who_stood_still_over_a_client_timeout_still_answers_for_a_while() {
+    for (stood_ms, answers) in [(300, true), (650, true), (900, false)] {
+        staged(|| async move {
+            let stage = Stage::new(first, &[1], 256).await;
+            let mut client = stage.client().await;
+            stage.invokers[&1].spoilt.set(Spoilt::Silent);
+            client.ask(&Call { limit_ms: 200, ..stage.call("book") }).await;
+            pass(100).await;
+            tokio::time::advance(Duration::from_millis(stood_ms - 100)).await;
+            let heard = tokio::time::timeout(Duration::from_millis(20), client.hear()).await;
+            assert_eq!(matches!(heard, Ok(Some(Heard::Answer(_)))), answers, "{stood_ms}: {heard:?}");
+        });
+    }
+}
+
 #[test]
 fn ids_fields_and_bytes_pass_unchanged() {
     staged(|| async {
