--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,7 @@
 const TARGET: f64 = 4.0; // past it too is a member on which a run takes so much longer
 /// Silence is looked for this often; phi is the log of how unlikely it is.
 const LOOK_EVERY: Tenths = 50 * MILLI;
+const FILL_TURNS: usize = 5; // Pools are filled over so many looks: a turn stays short, an order comes soon
 const PHI: f64 = 3.0;
 const STALL: Tenths = 4 * LOOK_EVERY; // a controller without a turn for so long has stood still itself
 const GAP_FLOOR: f64 = 30.0 * MILLI as f64;
@@ -705,7 +706,7 @@
             }
             self.to_fill.push_back(fid);
         }
-        self.fills = self.to_fill.len().div_ceil((PLAN_EVERY / LOOK_EVERY) as usize);
+        self.fills = self.to_fill.len().div_ceil(FILL_TURNS);
     }
 
     /// Orders holds for members without a warm belief, and renews those about to lapse.
