A wait that can't end in time is answered at once, with the load's end as advice

At fault: `send` and `await_hold`, which waited for `expires - LAST_CALL` whatever the load and the run still needed.

Change: `Choice::Hold` tells how long the copy and then the answer take. What can't end in time is throttled at once, to come back when the copy stands (within the stated most); other waits end when no run fits in any more; where nothing may be ordered nothing waits for an order. The order goes out all the same.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -158,7 +158,9 @@
 
 enum Choice {
     Go(InvokerId, bool, Tenths), // where to, whether a copy is believed to stand, when an answer is due
-    Hold(InvokerId),             // no copy is there, and a dispatch would bring none: it waits for an order
+    /// No copy is there, and a dispatch would bring none: it waits for an order, which takes so long, and the
+    /// answer then so long.
+    Hold(InvokerId, Tenths, Tenths),
     Nobody,
 }
 
@@ -179,8 +181,8 @@
     taken: VecDeque<Tenths>,
     orders: VecDeque<Tenths>,
     orders_out: usize,
-    /// Functions whose pools the last plan left to fill, and how many a look fills: all in one turn, after a change
-    /// of the list, took a busy controller 36 ms, and answers that fell due meanwhile came after the client timeout.
+    /// Functions whose pools the last plan left to fill, and how many a look fills. All in one turn, after a
+    /// change of the list, took 36 ms, and answers that fell due meanwhile came after the client timeout.
     to_fill: VecDeque<FnId>,
     fills: usize,
     /// What is left of our part of the holds planned a second, and how often an unknown copy did not stand.
@@ -362,10 +364,10 @@
     }
 
     /// The final answer, at once: the client may try again.
-    fn settle(&mut self, id: InvId, acts: &mut dyn Acts) {
+    fn settle(&mut self, id: InvId, copy_in: Tenths, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done && inv.out.is_none()) else { return };
         if self.harmless(inv, None, self.now) {
-            let wait = self.rows[inv.call.trigger].stated.objective / COME_BACK;
+            let wait = copy_in.max(self.rows[inv.call.trigger].stated.objective / COME_BACK);
             acts.throttle(id, self.d.come_back_max.map_or(0, |most| wait.min(most)));
         } else {
             acts.error(id);
@@ -377,17 +379,25 @@
         let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done) else { return };
         let (fid, expires) = (inv.call.function, inv.call.expires);
         if self.now + LAST_CALL >= expires {
-            return self.settle(id, acts);
+            return self.settle(id, 0, acts);
         }
         match self.pick(id) {
             Choice::Go(w, warm, due) => self.dispatch(id, w, warm, due, acts),
-            Choice::Hold(w) if self.order_load(w, fid, 1.0, acts) => self.await_hold(id, w, acts),
-            // The ration or the pending cap is used up: it frees up with time, tries don't.
-            Choice::Hold(_) => {
-                let at = (self.now + LOOK_EVERY).min(expires - LAST_CALL);
-                self.later(at, acts, Box::new(move |c, acts| c.send(id, acts)))
+            Choice::Hold(w, copy_in, answer) => {
+                let ordered = self.order_load(w, fid, 1.0, acts);
+                let last = expires.saturating_sub(answer.max(LAST_CALL));
+                // What can't end in time is answered at once: the copy is there when the client comes back.
+                if self.now + copy_in >= last {
+                    self.settle(id, copy_in, acts);
+                } else if ordered {
+                    self.await_hold(id, w, last, acts);
+                } else {
+                    // The ration is used up: it frees up with time, tries don't.
+                    let at = (self.now + LOOK_EVERY).min(last);
+                    self.later(at, acts, Box::new(move |c, acts| c.send(id, acts)))
+                }
             }
-            Choice::Nobody => self.settle(id, acts),
+            Choice::Nobody => self.settle(id, 0, acts),
         }
     }
 
@@ -512,9 +522,9 @@
         }
     }
 
-    fn await_hold(&mut self, id: InvId, w: InvokerId, acts: &mut dyn Acts) {
+    fn await_hold(&mut self, id: InvId, w: InvokerId, last: Tenths, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id) else { return };
-        let (hops, expires) = (inv.hops, inv.call.expires);
+        let hops = inv.hops;
         let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.hops == hops);
         let Some(f) = self.functions.get_mut(&inv.call.function) else { return };
         let then = |go: fn(&mut Self, InvId, &mut dyn Acts)| -> Next {
@@ -525,7 +535,7 @@
             })
         };
         f.places.entry(w).or_default().waiting.push(then(Self::send));
-        self.later(expires - LAST_CALL, acts, then(Self::settle));
+        self.later(last, acts, then(|c, id, acts| c.settle(id, 0, acts)));
     }
 
     fn later(&mut self, at: Tenths, acts: &mut dyn Acts, then: Next) {
@@ -599,7 +609,11 @@
         let row = &self.rows[inv.call.trigger];
         let (alone, run) = (expected(&inv.call, f, row), f.run.mean());
         let ((n, size), fleet_slow) = (self.fleet(), self.fleet_slow());
-        let mut best: Vec<(u64, InvokerId, bool, bool, f64)> = Vec::new();
+        let copy_in = |p: Option<&Place>| match p.and_then(|p| p.loading) {
+            Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
+            None => f.load(),
+        };
+        let mut best: Vec<(u64, InvokerId, bool, bool, (f64, f64))> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
         let left = inv.hops < self.d.dispatch_limit && inv.out.is_none();
         let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
@@ -623,22 +637,18 @@
             let out = p.map_or(0.0, |p| f64::from(p.out)).max(crowd);
             // Where a miss costs a moment and a try, an unknown place is as good as any while tries are left.
             let tries = some_warm && inv.hops == 0 && p.is_none_or(|p| now >= p.lacks_until);
-            let load = match p.and_then(|p| p.loading) {
-                _ if warm || (tries && self.d.misses) => 0.0,
-                Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
-                None => f.load(),
-            };
+            let load = if warm || (tries && self.d.misses) { 0.0 } else { copy_in(p) };
             let unknown = i < f.members && p.is_none_or(|p| p.loading.is_none());
             let chance = if unknown { self.cold } else { 1.0 };
             let slow = v.slow(now, fleet_slow) / self.risen(v);
             let busy = (v.busy.0 - self.busy).max(0.0) * decay(now - v.busy.1, CROWD_FADES) * BUSY_RUNS * run;
             let cores = n as f64 * CORES * v.listed.size / size;
             let queue = slow * run * out / f.lanes + f64::from(v.out) * run / cores;
-            let (finish, due) = (chance * load + slow * alone + queue + busy, load + slow * alone + queue);
+            let (finish, answer) = (chance * load + slow * alone + queue + busy, slow * alone + queue);
             shortest = shortest.min(slow * run + queue);
             below_target |= out < f.lanes && slow * run + queue < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
-            best.push((finish as u64 / MILLI, *w, warm, awaited, due));
+            best.push((finish as u64 / MILLI, *w, warm, awaited, (load, answer)));
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
         if self.d.misses && inv.hops > 0 && best.iter().any(|b| b.2) {
@@ -652,10 +662,14 @@
             return Choice::Nobody;
         }
         best.retain(|b| b.0 == least);
-        let (_, invoker, warm, awaited, due) = best[self.rng.usize(..best.len())];
-        let lacks = f.places.get(&invoker).is_some_and(|p| now < p.lacks_until);
-        let hold = awaited || (self.d.misses && !warm && lacks);
-        if hold { Choice::Hold(invoker) } else { Choice::Go(invoker, warm, now + due as Tenths) }
+        let (_, invoker, warm, awaited, (load, answer)) = best[self.rng.usize(..best.len())];
+        let place = f.places.get(&invoker);
+        if awaited
+            || (self.d.misses && self.d.may_order && !warm && place.is_some_and(|p| now < p.lacks_until))
+        {
+            return Choice::Hold(invoker, copy_in(place) as Tenths, answer as Tenths);
+        }
+        Choice::Go(invoker, warm, now + (load + answer) as Tenths)
     }
 
     /// Pools: sizes from demand, then members' holds within the budgets, every second.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -105,6 +105,43 @@
         bed.pass(6 * SECOND);
     }
 
+    /// Found on fleet days: who missed waited for a load that was told to take longer than the client would, or until
+    /// 10 ms before the client timeout, when no run fits in any more.
+    #[test]
+    fn what_is_given_up_on_is_answered_at_once(
+        free in 0u32..40,
+        calls in prop::collection::vec((0u64..12, 3u64..40, 0u32..4), 30..120),
+    ) {
+        let mut d = deployment();
+        (d.misses, d.order_window, d.orders_free, d.orders_share) = (true, 5 * SECOND, f64::from(free), 0.1);
+        let mut bed = Bed::new(d, 6);
+        for (function, patience, end) in calls {
+            let patience = patience * 100 * MILLI;
+            let id = bed.invoke(0, function, patience);
+            let untouched = bed.k.holds.iter().all(|(_, f, _)| *f != function);
+            if bed.k.invs[&id].sent.is_empty() {
+                continue;
+            }
+            if end > 0 {
+                bed.answer(id, 0, Outcome::Miss, None);
+                // The load is told to take a second, and nobody else has ordered one.
+                let hopeless = patience <= SECOND && untouched && bed.k.invs[&id].sent.len() < 2;
+                prop_assert!(!hopeless || !bed.k.invs[&id].finals.is_empty(), "{id} waits in vain");
+            } else {
+                bed.pass(RUN);
+                if bed.k.invs[&id].finals.is_empty() {
+                    bed.answer(id, 0, Outcome::Succeeded, Some(Found::Warm));
+                }
+            }
+            bed.pass(20 * MILLI);
+            if end == 3 && !bed.k.holds.is_empty() {
+                bed.held(0, HoldOutcome::Standing);
+            }
+        }
+        bed.pass(5 * SECOND);
+        prop_assert!(bed.k.after_waits.iter().all(|left| *left >= RUN / 2), "{:?}", bed.k.after_waits);
+    }
+
     #[test]
     fn same_calls_same_actions(bits in 0u8..64, steps in prop::collection::vec((0u8..32, any::<u32>()), 50..150)) {
         let run = || {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -34,6 +34,9 @@
     pub cancels: Vec<(InvId, u8)>,
     pub wakes: Vec<(Tenths, u64)>,
     pub come_back: Vec<Tenths>,
+    /// A timer has its turn; and how long before their client timeout invocations got final answers in such turns.
+    in_timer: bool,
+    pub after_waits: Vec<Tenths>,
     /// When the controller last stood still.
     pub stood: Tenths,
     /// Whether all controllers carry alike, so that each has an even part of a cold invoker.
@@ -86,6 +89,7 @@
         assert!(!taken.gone, "rule 1: answer for {id}, whose client had left");
         taken.finals.push(how);
         assert_eq!(taken.finals.len(), 1, "rule 1: {id} answered again");
+        self.after_waits.extend(self.in_timer.then(|| taken.call.expires.saturating_sub(self.now)));
     }
 
     /// What must hold whenever the controller has had its turn.
@@ -239,6 +243,8 @@
             cancels: vec![],
             wakes: vec![],
             come_back: vec![],
+            in_timer: false,
+            after_waits: vec![],
             stood: 0,
             even: true,
             stands: BTreeSet::new(),
@@ -347,9 +353,11 @@
             let (due, later) = std::mem::take(&mut self.k.wakes).into_iter().partition(|(at, _)| *at <= now);
             self.k.wakes = later;
             let due: Vec<(Tenths, u64)> = due;
+            self.k.in_timer = true;
             for (_, token) in due {
                 self.c.woken(now, token, &mut self.k);
             }
+            self.k.in_timer = false;
             for (id, hop) in std::mem::take(&mut self.k.cancels) {
                 if self.k.invs[&id].sent[usize::from(hop)].ended.is_none() {
                     self.answer(id, hop.into(), Outcome::Cancelled, None);
