--- a/src/decide.rs
+++ b/src/decide.rs
@@ -156,6 +156,16 @@
     places: BTreeMap<InvokerId, Place>,
 }
 
+/// An invoker that an invocation may go to now.
+struct Candidate {
+    finish: u64, // whole milliseconds: what is nearer together is a tie
+    invoker: InvokerId,
+    warm: bool,
+    awaited: bool, // an order for a copy there is out
+    load: f64,
+    answer: f64, // from when a copy stands
+}
+
 enum Choice {
     Go(InvokerId, bool, Tenths), // where to, whether a copy is believed to stand, when an answer is due
     /// No copy is there, and a dispatch would bring none: it waits for an order, which takes so long, and the
@@ -613,7 +623,7 @@
             Some(since) => (f.load() - (now - since) as f64).max(0.1 * f.load()),
             None => f.load(),
         };
-        let mut best: Vec<(u64, InvokerId, bool, bool, (f64, f64))> = Vec::new();
+        let mut best: Vec<Candidate> = Vec::new();
         let (mut shortest, mut below_target) = (f64::INFINITY, false);
         let left = inv.hops < self.d.dispatch_limit && inv.out.is_none();
         let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
@@ -648,21 +658,21 @@
             shortest = shortest.min(slow * run + queue);
             below_target |= out < f.lanes && slow * run + queue < TARGET * run;
             let awaited = !warm && self.d.misses && p.is_some_and(|p| p.ordered);
-            best.push((finish as u64 / MILLI, *w, warm, awaited, (load, answer)));
+            best.push(Candidate { finish: finish as u64 / MILLI, invoker: *w, warm, awaited, load, answer });
         }
         // Where a dispatch loads nothing, one without a copy only burns a try: copies come by orders.
-        if self.d.misses && inv.hops > 0 && best.iter().any(|b| b.2) {
-            best.retain(|b| b.2 || b.3);
+        if self.d.misses && inv.hops > 0 && best.iter().any(|b| b.warm) {
+            best.retain(|b| b.warm || b.awaited);
         }
-        let Some(least) = best.iter().map(|b| b.0).min() else { return Choice::Nobody };
+        let Some(least) = best.iter().map(|b| b.finish).min() else { return Choice::Nobody };
         // Slowness is old news: our part of one invocation an invoker may look how things stand.
         let look = self.out == 0 || f64::from(self.out * self.d.controllers) < n as f64;
         let jammed = fleet_slow > JAMMED && shortest > self.patience(inv);
         if jammed && !look && self.harmless(inv, None, self.now) {
             return Choice::Nobody;
         }
-        best.retain(|b| b.0 == least);
-        let (_, invoker, warm, awaited, (load, answer)) = best[self.rng.usize(..best.len())];
+        best.retain(|b| b.finish == least);
+        let Candidate { invoker, warm, awaited, load, answer, .. } = best[self.rng.usize(..best.len())];
         let place = f.places.get(&invoker);
         if awaited
             || (self.d.misses && self.d.may_order && !warm && place.is_some_and(|p| now < p.lacks_until))
