Only who has a copy ordered is told when it stands

Reread: an invocation turned away for the ration was told to come back when the load would end, though no order had gone out; it now gets the usual advice. The test fails without the change (told a second twice).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -398,7 +398,7 @@
                 let last = expires.saturating_sub(answer.max(LAST_CALL));
                 // What can't end in time is answered at once: the copy is there when the client comes back.
                 if self.now + copy_in >= last {
-                    self.settle(id, copy_in, acts);
+                    self.settle(id, if ordered { copy_in } else { 0 }, acts);
                 } else if ordered {
                     self.await_hold(id, w, last, acts);
                 } else {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -401,3 +401,17 @@
     assert!(turns.values().all(|orders| *orders <= 40), "{turns:?}");
     assert_eq!(functions.len(), 200);
 }
+
+/// Found by reading: who was turned away for the ration was told to come back for a copy that nobody had ordered.
+#[test]
+fn only_who_has_a_copy_ordered_is_told_when_it_stands() {
+    let mut d = deployment();
+    (d.misses, d.order_window, d.orders_free, d.orders_share) = (true, 5 * SECOND, 1.0, 0.0);
+    let mut bed = Bed::new(d, 6);
+    for function in 0..2 {
+        let id = bed.invoke(0, function, 500 * MILLI);
+        bed.answer(id, 0, Outcome::Miss, None);
+    }
+    assert_eq!(bed.k.holds.len(), 1);
+    assert_eq!(bed.k.come_back, [SECOND, SECOND / 8]);
+}
