A wait that is over does not end the next one

Seen on rereading: since waits end when no run fits in any more, each has an end of its own, but `await_hold` told its waits apart by the number of dispatches alone. An order that failed led to a wait elsewhere with the same number, and the first wait's timer throttled the invocation while the second order was out. At fault: `still` in `await_hold`.

Change: each decision on an invocation is counted, and a wait from before the last one is over. The test (a crowded place, whose order fails, then a quiet one) fails without it: "throttled while an order for it is out".

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,6 +102,7 @@
     arrived: Tenths,
     out: Option<Dispatch>, // One at a time, also where two are allowed: a second one cost more than it won
     hops: u8,
+    decided: u32, // how often it was decided what becomes of it: a wait from before is over
     may_have_run: Option<(Tenths, InvokerId)>, // the first such dispatch: when and where
     tried: Vec<InvokerId>,
     done: bool,
@@ -330,7 +331,8 @@
         self.taken.extend(f.proven.then_some(now));
         f.places.values_mut().for_each(|p| p.off_since = p.off_since.map(|_| now));
         let (id, tried) = (call.id, Vec::new());
-        let new = Inv { call, arrived: now, out: None, hops: 0, may_have_run: None, tried, done: false };
+        let (out, may_have_run, done) = (None, None, false);
+        let new = Inv { call, arrived: now, out, hops: 0, decided: 0, may_have_run, tried, done };
         self.invs.insert(id, new);
         self.send(id, acts);
     }
@@ -386,7 +388,8 @@
     }
 
     fn send(&mut self, id: InvId, acts: &mut dyn Acts) {
-        let Some(inv) = self.invs.get(&id).filter(|inv| !inv.done) else { return };
+        let Some(inv) = self.invs.get_mut(&id).filter(|inv| !inv.done) else { return };
+        inv.decided += 1;
         let (fid, expires) = (inv.call.function, inv.call.expires);
         if self.now + LAST_CALL >= expires {
             return self.settle(id, 0, acts);
@@ -534,8 +537,8 @@
 
     fn await_hold(&mut self, id: InvId, w: InvokerId, last: Tenths, acts: &mut dyn Acts) {
         let Some(inv) = self.invs.get(&id) else { return };
-        let hops = inv.hops;
-        let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.hops == hops);
+        let decided = inv.decided;
+        let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.decided == decided);
         let Some(f) = self.functions.get_mut(&inv.call.function) else { return };
         let then = |go: fn(&mut Self, InvId, &mut dyn Acts)| -> Next {
             Box::new(move |c, acts| {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -415,3 +415,30 @@
     assert_eq!(bed.k.holds.len(), 1);
     assert_eq!(bed.k.come_back, [SECOND, SECOND / 8]);
 }
+
+/// Found by reading: the end of a wait at a crowded place ended the wait at another that came after it.
+#[test]
+fn a_wait_that_is_over_does_not_end_the_next_one() {
+    let mut d = deployment();
+    (d.misses, d.controllers) = (true, 1);
+    let second_at_two = (1..40).filter(|function| {
+        let mut bed = Bed::new(d.clone(), 1);
+        let others: Vec<InvId> = (0..20).map(|_| bed.invoke(0, 900, 4 * SECOND)).collect();
+        let id = bed.invoke(0, *function, 4 * SECOND);
+        bed.answer(id, 0, Outcome::Miss, None);
+        bed.pass(RUN);
+        others.iter().for_each(|other| bed.answer(*other, 0, Outcome::Succeeded, Some(Found::Warm)));
+        bed.list(false, &[listed(2, Life::Ready, None)]);
+        bed.pass(1_450 * MILLI);
+        let order = |bed: &Bed, at| bed.k.holds.iter().position(|(w, f, _)| (*w, *f) == (at, *function));
+        let (Some(first), Some(_)) = (order(&bed, 1), order(&bed, 2)) else { return false };
+        bed.held(first, HoldOutcome::NoRoom);
+        bed.pass(1_400 * MILLI);
+        assert!(bed.k.invs[&id].finals.is_empty(), "throttled while an order for it is out");
+        let second = order(&bed, 2).unwrap();
+        bed.held(second, HoldOutcome::Standing);
+        assert_eq!(bed.k.invs[&id].sent.len(), 2);
+        true
+    });
+    assert!(second_at_two.count() > 0);
+}
