--- a/crates/deployment/src/script.rs
+++ b/crates/deployment/src/script.rs
@@ -117,7 +117,9 @@
     traffic,
     trouble,
     experiment,
-    variant
+    variant,
+    fleet,
+    bound
 );
 
 /// Runs a script's text; `file` is its name in faults.
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,268 @@
+//! The value that the fleet agrees on.
+
+use crate::bounds::Bound;
+use crate::register::{Config, Value};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Controller,
+    Invoker,
+}
+
+/// A member as it is named in scripts, on the wire and to operators: `invoker-7`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberId {
+    pub kind: Kind,
+    pub number: u32,
+}
+
+impl MemberId {
+    pub fn controller(number: u32) -> Self {
+        Self { kind: Kind::Controller, number }
+    }
+
+    pub fn invoker(number: u32) -> Self {
+        Self { kind: Kind::Invoker, number }
+    }
+}
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            Kind::Controller => "controller",
+            Kind::Invoker => "invoker",
+        };
+        write!(f, "{kind}-{}", self.number)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("'{0}': controller-N or invoker-N is expected")]
+pub struct NoMember(pub String);
+
+impl FromStr for MemberId {
+    type Err = NoMember;
+
+    fn from_str(text: &str) -> Result<Self, NoMember> {
+        let fault = || NoMember(text.to_owned());
+        let (kind, number) = text.rsplit_once('-').ok_or_else(fault)?;
+        let kind = match kind {
+            "controller" => Kind::Controller,
+            "invoker" => Kind::Invoker,
+            _ => return Err(fault()),
+        };
+        let digits = number.bytes().all(|b| b.is_ascii_digit()) && !number.starts_with('0');
+        Ok(Self { kind, number: number.parse().ok().filter(|_| digits).ok_or_else(fault)? })
+    }
+}
+
+impl Serialize for MemberId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for MemberId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// A permission to drain, by its number; never given twice.
+pub type Grant = u64;
+
+/// Where a member stands. All but `Up` count as out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "is", rename_all = "kebab-case")]
+pub enum Phase {
+    /// Proven: it serves.
+    Up,
+    /// Started and not yet proven. `planned`: it comes back from a drain.
+    Starting {
+        planned: bool,
+    },
+    /// May begin to drain, and has not.
+    Granted {
+        grant: Grant,
+    },
+    Draining {
+        grant: Grant,
+    },
+    /// Drained, and not there.
+    Away {
+        grant: Grant,
+    },
+    /// Gone without a grant, or silent for too long: nobody knows. `planned`: while it came back from a drain.
+    Lost {
+        planned: bool,
+    },
+}
+
+impl Phase {
+    pub fn is_out(&self) -> bool {
+        *self != Self::Up
+    }
+
+    /// Out by somebody's plan, not by chance.
+    pub fn is_planned(&self) -> bool {
+        match self {
+            Self::Granted { .. } | Self::Draining { .. } | Self::Away { .. } => true,
+            Self::Starting { planned } | Self::Lost { planned } => *planned,
+            Self::Up => false,
+        }
+    }
+
+    pub fn grant(&self) -> Option<Grant> {
+        match self {
+            Self::Granted { grant } | Self::Draining { grant } | Self::Away { grant } => Some(*grant),
+            _ => None,
+        }
+    }
+
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Starting { .. } => "starting",
+            Self::Granted { .. } => "granted",
+            Self::Draining { .. } => "draining",
+            Self::Away { .. } => "away",
+            Self::Lost { .. } => "lost",
+        }
+    }
+}
+
+/// What a member says of itself when it joins.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct About {
+    /// Differs at each start, and is never 0.
+    pub incarnation: u64,
+    pub site: String,
+    pub cell: u16,
+    /// Ready capacity, without unit, comparable inside a kind.
+    pub size: f64,
+    pub memory_mb: f64,
+    /// Of the program.
+    pub version: String,
+    /// Where it listens: invokers for controllers, controllers for clients.
+    pub address: String,
+    /// Its machine kind's place in the deployment; 0 for controllers.
+    #[serde(default)]
+    pub machine: u16,
+    /// Its zone's place in the deployment.
+    #[serde(default)]
+    pub zone: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    pub about: About,
+    pub phase: Phase,
+    /// Revision at which it came into its phase.
+    pub since: u64,
+    /// Lives before this one, the last few.
+    #[serde(default)]
+    pub past: Vec<u64>,
+}
+
+/// Why no further drain begins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Halt {
+    pub by: String,
+    pub why: String,
+    /// What would end it, for those who read it.
+    pub ends: String,
+    pub revision: u64,
+}
+
+/// Members that an operator wants drained and returned, in the order of who goes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    pub by: String,
+    /// Still to go.
+    pub waiting: Vec<MemberId>,
+    /// Granted, draining, away or coming back.
+    pub under_way: Vec<MemberId>,
+    pub finished: Vec<MemberId>,
+    pub withdrawn: Vec<MemberId>,
+    pub revision: u64,
+}
+
+impl Ask {
+    pub fn is_over(&self) -> bool {
+        self.waiting.is_empty() && self.under_way.is_empty()
+    }
+}
+
+/// One line of what happened, for those who read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    pub revision: u64,
+    pub what: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    pub name: String,
+    pub config: Config,
+    /// Where each steward listens.
+    pub stewards: BTreeMap<u32, String>,
+    pub revision: u64,
+    pub grants: Grant,
+    pub bounds: Vec<Bound>,
+    /// It halts itself when more members than this are lost that nobody planned; 0: never.
+    pub halt_at_lost: usize,
+    pub members: BTreeMap<MemberId, Member>,
+    pub halt: Option<Halt>,
+    pub asks: BTreeMap<String, Ask>,
+    pub history: VecDeque<Event>,
+}
+
+impl Value for Fleet {
+    fn config(&self) -> &Config {
+        &self.config
+    }
+}
+
+impl Fleet {
+    /// A fleet of which nobody knows yet but its stewards.
+    pub fn founded(
+        name: &str,
+        config: Config,
+        stewards: BTreeMap<u32, String>,
+        bounds: Vec<Bound>,
+        halt_at_lost: usize,
+    ) -> Self {
+        Self {
+            name: name.to_owned(),
+            config,
+            stewards,
+            revision: 0,
+            grants: 0,
+            bounds,
+            halt_at_lost,
+            members: BTreeMap::new(),
+            halt: None,
+            asks: BTreeMap::new(),
+            history: VecDeque::new(),
+        }
+    }
+
+    pub fn out(&self) -> impl Iterator<Item = (&MemberId, &Member)> {
+        self.members.iter().filter(|(_, m)| m.phase.is_out())
+    }
+
+    pub fn planned_out(&self) -> usize {
+        self.members.values().filter(|m| m.phase.is_planned()).count()
+    }
+
+    pub fn lost(&self) -> usize {
+        self.members.values().filter(|m| matches!(m.phase, Phase::Lost { .. })).count()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/next.rs
@@ -0,0 +1,110 @@
+//! Who goes next: of those that were asked for and for whom there is room, the one that is missed least.
+
+use crate::bounds;
+use crate::change::Change;
+use crate::fleet::{Fleet, MemberId, Phase};
+use std::collections::BTreeMap;
+
+/// What stewards heard of a member lately. It steers, and nothing rests on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Work in hand, as a share of its size.
+    pub busy: f64,
+    /// It holds the last copies of so many functions.
+    pub last_copies: u32,
+}
+
+/// How much a member's going is to be avoided, worst first.
+fn weight(fleet: &Fleet, id: &MemberId, seen: Seen, place: usize) -> (bool, u32, u32, usize, u32, usize) {
+    let m = &fleet.members[id];
+    let beside = |same: &dyn Fn(&crate::fleet::Member) -> bool| {
+        fleet.out().filter(|(other, o)| other.kind == id.kind && same(o)).count() as u32
+    };
+    let cell = beside(&|o| o.about.site == m.about.site && o.about.cell == m.about.cell);
+    let site = beside(&|o| o.about.site == m.about.site);
+    // Sites in turn: one that has given more waits for the others.
+    let given = fleet.asks.values().flat_map(|a| &a.finished);
+    let given = given.filter(|f| f.kind == id.kind && site_of(fleet, f) == Some(&m.about.site)).count();
+    // In tenths, so that what is nearly alike goes in the order in which it was asked for.
+    let busy = (seen.busy.clamp(0.0, 10.0) * 10.0) as u32;
+    (seen.last_copies > 0, cell, site, given, busy, place)
+}
+
+fn site_of<'a>(fleet: &'a Fleet, id: &MemberId) -> Option<&'a String> {
+    fleet.members.get(id).map(|m| &m.about.site)
+}
+
+/// The next to be granted, if there is room for anybody and nothing is halted.
+pub fn next(fleet: &Fleet, seen: &BTreeMap<MemberId, Seen>) -> Option<MemberId> {
+    if fleet.halt.is_some() {
+        return None;
+    }
+    let mut asks: Vec<_> = fleet.asks.values().collect();
+    asks.sort_by_key(|a| a.revision);
+    let waiting = asks.iter().flat_map(|a| &a.waiting).enumerate();
+    let can = waiting.filter(|(_, id)| fleet.members.get(id).is_some_and(|m| m.phase == Phase::Up));
+    let can = can.filter(|(_, id)| bounds::against(fleet, id).is_none());
+    let weigh = |(place, id): &(usize, &MemberId)| {
+        weight(fleet, id, seen.get(id).copied().unwrap_or_default(), *place)
+    };
+    can.min_by_key(weigh).map(|(_, id)| *id)
+}
+
+/// What stands in the way of an ask that does not move, for those who wait.
+pub fn waits_for(fleet: &Fleet) -> Option<String> {
+    if let Some(h) = &fleet.halt {
+        return Some(format!("halted by {}: {}; ends by {}", h.by, h.why, h.ends));
+    }
+    let waiting = fleet.asks.values().flat_map(|a| &a.waiting);
+    let mut why = None;
+    for id in waiting {
+        let Some(m) = fleet.members.get(id) else { continue };
+        if m.phase != Phase::Up {
+            why = why.or_else(|| Some(format!("{id} is {}", m.phase.word())));
+        } else if let Some(over) = bounds::against(fleet, id) {
+            why = Some(format!("no room for {id}: {over}"));
+            break;
+        }
+    }
+    why
+}
+
+/// One step of a dry run: who would be out together, in their order.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Batch {
+    pub go: Vec<MemberId>,
+    /// What keeps the next one back.
+    pub limit: Option<String>,
+}
+
+/// How these members would go if each took as long as the other and nobody else was lost, on a copy of the fleet.
+pub fn dry_run(fleet: &Fleet, members: &[MemberId]) -> Result<Vec<Batch>, crate::change::Refusal> {
+    let mut fleet = fleet.clone();
+    fleet.halt = None;
+    let ask = Change::Ask { id: "dry run".into(), members: members.to_vec(), by: "dry run".into() };
+    fleet.apply(&ask)?;
+    let (mut batches, seen) = (Vec::new(), BTreeMap::new());
+    loop {
+        let mut go = Vec::new();
+        while let Some(id) = next(&fleet, &seen) {
+            fleet.apply(&Change::Grant { member: id })?;
+            go.push(id);
+        }
+        if go.is_empty() {
+            return Ok(batches);
+        }
+        let limit = waits_for(&fleet);
+        for id in &go {
+            let incarnation = fleet.members[id].about.incarnation;
+            let grant = fleet.members[id].phase.grant().unwrap_or(0);
+            fleet.apply(&Change::Begin { member: *id, incarnation, grant })?;
+            fleet.apply(&Change::Leave { member: *id, incarnation })?;
+            let mut about = fleet.members[id].about.clone();
+            about.incarnation = incarnation.wrapping_add(1).max(1);
+            let incarnation = about.incarnation;
+            fleet.apply(&Change::Join { member: *id, about })?;
+            fleet.apply(&Change::Proven { member: *id, incarnation })?;
+        }
+        batches.push(Batch { go, limit });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/recovery.rs
@@ -0,0 +1,116 @@
+//! When a steward that starts may vote again. Its disk may be an old copy, or another disk than it voted from; then it has
+//! forgotten promises, and with its vote a second majority could form beside the first.
+
+use crate::register::{Acceptor, Ballot, Config, Value, Voter};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What another steward answers to one that starts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard<V> {
+    /// It does not vote itself yet.
+    pub returning: bool,
+    pub acceptor: Acceptor<V>,
+    /// The most writes that it has heard of from the one that starts.
+    pub writes_of_yours: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not enough was heard.
+    Wait,
+    /// May vote, once what [`Returning::adopt`] made of its state is on disk.
+    Vote,
+    /// Others heard of more writes than are on the disk: it is an old copy. It waits until all quorums that it may have
+    /// been part of are known from others.
+    OldDisk { mine: u64, heard: u64 },
+    /// A disk on which nothing was ever written, of a voter whose fleet is there already: it has lost its disk.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Returning<V> {
+    me: Voter,
+    mine: Acceptor<V>,
+    founding: Config,
+    heard: BTreeMap<Voter, Heard<V>>,
+}
+
+impl<V: Value> Returning<V> {
+    /// `founding`: who holds a fleet of which nothing else is known.
+    pub fn new(me: Voter, mine: Acceptor<V>, founding: Config) -> Self {
+        Self { me, mine, founding, heard: BTreeMap::new() }
+    }
+
+    pub fn heard(&mut self, from: Voter, what: Heard<V>) {
+        if from != self.me {
+            self.heard.insert(from, what);
+        }
+    }
+
+    /// The latest config that anybody has accepted a value with.
+    pub fn config(&self) -> Config {
+        let all = self.heard.values().map(|h| &h.acceptor).chain([&self.mine]);
+        let latest = all.filter_map(|a| a.accepted.as_ref()).max_by_key(|a| a.ballot);
+        latest.map_or_else(|| self.founding.clone(), |a| a.value.config().clone())
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        let config = self.config();
+        let known = self.heard.values().map(|h| h.writes_of_yours).max().unwrap_or(0);
+        let all: BTreeSet<Voter> = self.heard.keys().copied().collect();
+        let sure: BTreeSet<Voter> =
+            self.heard.iter().filter(|(_, h)| !h.returning).map(|(v, _)| *v).collect();
+        let everybody = config.voters().iter().all(|v| *v == self.me || all.contains(v));
+        let blank = self.mine.writes == 0;
+        let founded = self.heard.values().any(|h| h.acceptor.writes > 0);
+        if !config.holds(self.me) {
+            // As far as those know who answered, its vote counts nowhere; a majority of them would know better.
+            return if config.is_quorum(&all) { Verdict::Vote } else { Verdict::Wait };
+        }
+        if config.all_quorums_meet(self.me, &sure) && !(blank && self.is_founder()) {
+            return Verdict::Vote;
+        }
+        if blank && self.is_founder() {
+            // Nothing tells a first start from a start on an empty disk but that nobody else has anything.
+            return match (founded, everybody) {
+                (true, _) => Verdict::Lost,
+                (false, true) => Verdict::Vote,
+                (false, false) => Verdict::Wait,
+            };
+        }
+        if everybody {
+            // All are here, and none votes: what a majority held is among what they have.
+            return Verdict::Vote;
+        }
+        if known > self.mine.writes {
+            return Verdict::OldDisk { mine: self.mine.writes, heard: known };
+        }
+        // Its disk is as others knew it. With it they have to be able to decide, or its vote would be of no use.
+        let mut with_me = all;
+        with_me.insert(self.me);
+        if config.is_quorum(&with_me) { Verdict::Vote } else { Verdict::Wait }
+    }
+
+    fn is_founder(&self) -> bool {
+        self.founding.holds(self.me)
+    }
+
+    /// What it holds from now on: no promise below anybody's, and the latest value that anybody has.
+    pub fn adopt(self) -> Acceptor<V> {
+        let mut mine = self.mine;
+        let before = (mine.promised, mine.accepted.as_ref().map(|a| a.ballot));
+        let known = self.heard.values().map(|h| h.writes_of_yours).max().unwrap_or(0);
+        for h in self.heard.into_values() {
+            mine.promised = mine.promised.max(h.acceptor.promised);
+            let latest = mine.accepted.as_ref().map_or(Ballot::default(), |a| a.ballot);
+            if let Some(a) = h.acceptor.accepted.filter(|a| a.ballot > latest) {
+                mine.accepted = Some(a);
+            }
+        }
+        if before != (mine.promised, mine.accepted.as_ref().map(|a| a.ballot)) || known > mine.writes {
+            mine.writes = mine.writes.max(known) + 1;
+        }
+        mine
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/register.rs
@@ -0,0 +1,254 @@
+//! One register. An acceptor promises and accepts; a round reads a value from a quorum and puts another in its place.
+//!
+//! The value names the stewards that hold it, as one set or, while that changes, two: then a quorum is a majority of
+//! each. What a round puts has to be accepted by a quorum both of the value it read and of the value it puts, and a round
+//! that finds other stewards in what it read asks those as well before it goes on. A change to one set alone is made only
+//! after a value that names both is known to be held by a quorum ([`Config::settled`]).
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A steward by its number and the disk it votes from. Another disk is another voter: what the old one promised is not
+/// on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Voter {
+    pub steward: u32,
+    pub disk: u64,
+}
+
+impl fmt::Display for Voter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "steward-{}/{:x}", self.steward, self.disk)
+    }
+}
+
+/// Rounds in their order. Two rounds never have the same: a proposer uses each number once, whatever it forgets (the
+/// shell draws `life` anew at each start).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    pub number: u64,
+    pub steward: u32,
+    pub life: u64,
+}
+
+impl Ballot {
+    /// The least of this proposer that is above another.
+    pub fn above(other: Ballot, steward: u32, life: u64) -> Self {
+        Self { number: other.number + 1, steward, life }
+    }
+}
+
+/// Whose majorities decide.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Config {
+    now: BTreeSet<Voter>,
+    /// Being changed to; both decide until it is settled.
+    next: Option<BTreeSet<Voter>>,
+}
+
+fn majority(of: &BTreeSet<Voter>, have: &BTreeSet<Voter>) -> bool {
+    of.intersection(have).count() * 2 > of.len()
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    #[error("the stewards are being changed already")]
+    UnderWay,
+    #[error("the stewards are not being changed")]
+    NotUnderWay,
+    #[error("{0} stewards: an odd number from 1 to 9 is expected")]
+    Count(usize),
+    #[error("steward-{0} is named with two disks")]
+    TwoDisks(u32),
+}
+
+impl Config {
+    /// Of a fleet that is being founded.
+    pub fn founding(voters: BTreeSet<Voter>) -> Result<Self, Unfit> {
+        Self::fits(&voters)?;
+        Ok(Self { now: voters, next: None })
+    }
+
+    fn fits(voters: &BTreeSet<Voter>) -> Result<(), Unfit> {
+        if voters.len().is_multiple_of(2) || voters.len() > 9 {
+            return Err(Unfit::Count(voters.len()));
+        }
+        let mut numbers = BTreeSet::new();
+        match voters.iter().find(|v| !numbers.insert(v.steward)) {
+            Some(twice) => Err(Unfit::TwoDisks(twice.steward)),
+            None => Ok(()),
+        }
+    }
+
+    pub fn changing_to(&self, next: BTreeSet<Voter>) -> Result<Self, Unfit> {
+        if self.next.is_some() {
+            return Err(Unfit::UnderWay);
+        }
+        Self::fits(&next)?;
+        Ok(Self { now: self.now.clone(), next: Some(next) })
+    }
+
+    /// The change is over. To be put only by whoever knows that a value with this very config is held by a quorum:
+    /// before that, those who know the old set alone could go on without the new one.
+    pub fn settled(&self) -> Result<Self, Unfit> {
+        let next = self.next.clone().ok_or(Unfit::NotUnderWay)?;
+        Ok(Self { now: next, next: None })
+    }
+
+    pub fn is_changing(&self) -> bool {
+        self.next.is_some()
+    }
+
+    pub fn is_quorum(&self, have: &BTreeSet<Voter>) -> bool {
+        majority(&self.now, have) && self.next.as_ref().is_none_or(|next| majority(next, have))
+    }
+
+    pub fn voters(&self) -> BTreeSet<Voter> {
+        self.now.iter().chain(self.next.iter().flatten()).copied().collect()
+    }
+
+    pub fn holds(&self, voter: Voter) -> bool {
+        self.now.contains(&voter) || self.next.as_ref().is_some_and(|n| n.contains(&voter))
+    }
+
+    /// Whether every quorum that `away` may have been part of has one of `others` in it too.
+    pub fn all_quorums_meet(&self, away: Voter, others: &BTreeSet<Voter>) -> bool {
+        let meets = |set: &BTreeSet<Voter>| {
+            // Those that did not answer are, with it, no majority.
+            set.iter().filter(|v| **v == away || !others.contains(v)).count() * 2 <= set.len()
+        };
+        // A quorum is a majority of each set: meeting it in one of them is enough.
+        meets(&self.now) || self.next.as_ref().is_some_and(meets)
+    }
+}
+
+/// What is kept in the register.
+pub trait Value: Clone {
+    fn config(&self) -> &Config;
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Accepted<V> {
+    pub ballot: Ballot,
+    pub value: V,
+}
+
+/// What a steward holds. All of it is on its disk before it answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Acceptor<V> {
+    pub promised: Ballot,
+    pub accepted: Option<Accepted<V>>,
+    /// How often it changed; others remember it, and so an old copy of the disk shows.
+    pub writes: u64,
+}
+
+impl<V> Default for Acceptor<V> {
+    fn default() -> Self {
+        Self { promised: Ballot::default(), accepted: None, writes: 0 }
+    }
+}
+
+impl<V: Value> Acceptor<V> {
+    /// Promises to take nothing below `ballot`; gives what was accepted last. Refused with what was promised to another.
+    pub fn prepare(&mut self, ballot: Ballot) -> Result<Option<&Accepted<V>>, Ballot> {
+        if ballot < self.promised {
+            return Err(self.promised);
+        }
+        if ballot > self.promised {
+            self.promised = ballot;
+            self.writes += 1;
+        }
+        Ok(self.accepted.as_ref())
+    }
+
+    pub fn accept(&mut self, ballot: Ballot, value: V) -> Result<(), Ballot> {
+        if ballot < self.promised {
+            return Err(self.promised);
+        }
+        if self.accepted.as_ref().is_some_and(|a| a.ballot == ballot) {
+            // The same message once more.
+            return Ok(());
+        }
+        self.promised = ballot;
+        self.accepted = Some(Accepted { ballot, value });
+        self.writes += 1;
+        Ok(())
+    }
+}
+
+/// One try to change the register, by one proposer.
+#[derive(Clone, Debug, Hash)]
+pub struct Round<V> {
+    pub ballot: Ballot,
+    /// Whose promises are needed.
+    config: Config,
+    promised: BTreeSet<Voter>,
+    latest: Option<Accepted<V>>,
+    put: Option<V>,
+    accepted: BTreeSet<Voter>,
+}
+
+impl<V: Value> Round<V> {
+    /// `config`: the latest that the proposer has seen in any value, or the founding one.
+    pub fn new(ballot: Ballot, config: Config) -> Self {
+        Self { ballot, config, promised: BTreeSet::new(), latest: None, put: None, accepted: BTreeSet::new() }
+    }
+
+    /// Whose promises are asked for; more when a promise shows other stewards.
+    pub fn asks(&self) -> BTreeSet<Voter> {
+        self.config.voters()
+    }
+
+    /// A promise came. True: the value was read, and [`Self::read`] and [`Self::put`] may be used.
+    pub fn promised(&mut self, from: Voter, accepted: Option<Accepted<V>>) -> bool {
+        if self.put.is_some() {
+            return false;
+        }
+        self.promised.insert(from);
+        if let Some(a) = accepted
+            && self.latest.as_ref().is_none_or(|l| a.ballot > l.ballot)
+        {
+            self.config = a.value.config().clone();
+            self.latest = Some(a);
+        }
+        self.is_read()
+    }
+
+    pub fn is_read(&self) -> bool {
+        self.config.is_quorum(&self.promised)
+    }
+
+    /// What a quorum holds, or may hold; none: nothing was ever put.
+    pub fn read(&self) -> Option<&Accepted<V>> {
+        debug_assert!(self.is_read(), "nothing is read before a quorum has promised");
+        self.latest.as_ref()
+    }
+
+    /// Says what is to stand in the place of what was read; gives who has to be asked to accept it.
+    pub fn put(&mut self, value: V) -> BTreeSet<Voter> {
+        assert!(self.is_read() && self.put.is_none(), "one value, after a quorum has promised");
+        let to = self.config.voters().union(&value.config().voters()).copied().collect();
+        self.put = Some(value);
+        to
+    }
+
+    pub fn value(&self) -> Option<&V> {
+        self.put.as_ref()
+    }
+
+    /// True: the value is chosen, by quorums of what was read and of what was put.
+    pub fn accepted(&mut self, from: Voter) -> bool {
+        let Some(put) = &self.put else { return false };
+        self.accepted.insert(from);
+        self.config.is_quorum(&self.accepted) && put.config().is_quorum(&self.accepted)
+    }
+
+    pub fn has_accepted(&self) -> &BTreeSet<Voter> {
+        &self.accepted
+    }
+
+    pub fn has_promised(&self) -> &BTreeSet<Voter> {
+        &self.promised
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! The register under every order, and under many drawn ones; the fleet's changes under chance.
+
+mod every_order;
+mod support;
--- /dev/null
+++ b/crates/steward/src/list.rs
@@ -0,0 +1,139 @@
+//! The invoker list, following what was agreed of members, in the present protocol. Its revision is the fleet's, so that it
+//! never goes back, whichever steward serves it; a step that changes no line is told as one without lines.
+
+use crate::service::Steward;
+use bytes::BytesMut;
+use saltdrum::port::Tenths;
+use saltdrum_fleet::fleet::{Fleet, Kind, Member, Phase};
+use saltdrum_link::{Listener, Outbox, Stream, halves};
+use saltdrum_protocol::frame::{cut, encode};
+use saltdrum_protocol::list::{Change, Entry, Life, ToList, Whole};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::io::AsyncReadExt;
+
+/// What lies unread by a follower before it is cut off.
+const UNREAD_MOST_BYTES: usize = 64 << 20;
+/// A follower that is further behind is told to begin anew.
+const STEPS_MOST: u64 = 100_000;
+
+fn life(phase: &Phase) -> Life {
+    match phase {
+        Phase::Up | Phase::Starting { .. } | Phase::Granted { .. } => Life::Ready,
+        Phase::Draining { .. } => Life::Draining,
+        Phase::Away { .. } | Phase::Lost { .. } => Life::Gone,
+    }
+}
+
+type Lines = BTreeMap<u32, Entry>;
+
+impl Steward {
+    fn entry(&self, number: u32, m: &Member) -> Entry {
+        let age = self
+            .first_seen
+            .borrow()
+            .get(&(number, m.about.incarnation))
+            .map_or(0, |at| self.clock.now() - at);
+        Entry {
+            invoker: number,
+            address: m.about.address.clone(),
+            zone: m.about.zone,
+            kind: m.about.machine,
+            cell: m.about.cell,
+            life: life(&m.phase),
+            size: m.about.size as f32,
+            incarnation: m.about.incarnation,
+            age_tenths: age,
+            agent: None,
+        }
+    }
+
+    fn lines(&self, fleet: &Fleet) -> Lines {
+        let invokers = fleet.members.iter().filter(|(id, _)| id.kind == Kind::Invoker);
+        let lines = invokers.map(|(id, m)| (id.number, self.entry(id.number, m)));
+        lines.filter(|(_, e)| e.life != Life::Gone).collect()
+    }
+
+    pub(crate) async fn serve_list(self: Rc<Self>, mut door: Box<dyn Listener>) {
+        let mut tasks = tokio::task::JoinSet::new();
+        while let Ok(stream) = door.accept().await {
+            tasks.spawn_local(self.clone().follower(stream));
+            while tasks.try_join_next().is_some() {}
+        }
+    }
+
+    async fn follower(self: Rc<Self>, stream: Stream) {
+        let (mut input, mut output) = halves(stream);
+        let mut read = BytesMut::new();
+        let asked = loop {
+            match cut(&mut read) {
+                Ok(Some((kind, body))) => break ToList::read(kind, &body),
+                Ok(None) if matches!(input.read_buf(&mut read).await, Ok(1..)) => {}
+                _ => return,
+            }
+        };
+        let Ok(ToList::Follow(_)) = asked else { return };
+        let outbox = Outbox::new(UNREAD_MOST_BYTES);
+        let gone = async {
+            while let Ok(1..) = input.read_buf(&mut read).await {
+                read.clear();
+            }
+        };
+        tokio::select! {
+            biased;
+            () = gone => {}
+            () = self.tell(&outbox) => {}
+            _ = outbox.write_to(&mut output, || 0, |_| ()) => {}
+        }
+    }
+
+    /// Tells the whole, then each step. Returns when the follower has to begin anew.
+    async fn tell(&self, outbox: &Outbox) {
+        let mut news = self.news.subscribe();
+        // Whoever follows before this steward knows anything waits for what it knows.
+        let first = loop {
+            if let Some(fleet) = self.fleet.borrow().clone() {
+                break fleet;
+            }
+            if news.changed().await.is_err() {
+                return;
+            }
+        };
+        let (mut known, mut at) = (self.lines(&first), first.revision);
+        // A steward that may have missed something says what it knows without saying that this is all.
+        let settled = self.is_settled();
+        let whole = Whole { revision: at, settled, entries: known.values().cloned().collect() };
+        outbox.put(encode(&whole), Tenths::MAX);
+        if !settled {
+            self.settles.notified().await;
+            return;
+        }
+        while news.changed().await.is_ok() {
+            let Some(fleet) = self.fleet.borrow().clone() else { continue };
+            if fleet.revision < at || fleet.revision - at > STEPS_MOST {
+                return;
+            }
+            let lines = self.lines(&fleet);
+            let mut entries = Vec::new();
+            for (number, entry) in &lines {
+                let same = known.get(number).is_some_and(|k| {
+                    (&k.address, k.life, k.incarnation) == (&entry.address, entry.life, entry.incarnation)
+                });
+                if !same {
+                    entries.push(entry.clone());
+                }
+            }
+            for (number, entry) in known.iter().filter(|(n, _)| !lines.contains_key(n)) {
+                entries.push(Entry { invoker: *number, life: Life::Gone, ..entry.clone() });
+            }
+            while at < fleet.revision {
+                at += 1;
+                let entries = if at == fleet.revision { std::mem::take(&mut entries) } else { Vec::new() };
+                if outbox.put(encode(&Change { revision: at, entries }), Tenths::MAX).is_none() {
+                    return;
+                }
+            }
+            known = lines;
+        }
+    }
+}
--- /dev/null
+++ b/crates/steward/src/member.rs
@@ -0,0 +1,223 @@
+//! How a controller or an invoker takes part. It renews with every steward that it reaches, and does nothing about a grant
+//! before the fleet has agreed that it begins.
+
+use crate::caller::{Caller, Fault};
+use crate::wire::{Changed, Changes, NO_VOTE, REFUSED, Renew, STRANGER, Standing};
+use saltdrum::port::{MILLI, SECOND, Tenths};
+use saltdrum_fleet::change::Change;
+use saltdrum_fleet::fleet::{About, MemberId, Phase};
+use saltdrum_fleet::next::Seen;
+use saltdrum_link::{Address, Clock, Network};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tracing::{debug, info, warn};
+
+/// Waiting for one change to be agreed, by one steward.
+const PATIENCE: Tenths = 4 * SECOND;
+/// One that drains and reaches no steward ends all the same after so long; it stays counted.
+const LEAVING: Tenths = 3 * SECOND;
+
+/// What the process does itself.
+pub trait Part {
+    /// It serves as it should.
+    fn is_proven(&self) -> bool;
+    fn seen(&self) -> Seen;
+    /// Begins to drain: nothing new, all that was taken is ended. Called once for a drain.
+    fn drain(&self);
+    fn is_drained(&self) -> bool;
+    /// Goes back to serving, if it still can. True: it does.
+    fn turn_back(&self) -> bool;
+    /// For the record: what happened, and the grant that it belongs to.
+    fn told(&self, what: &'static str, grant: u64);
+}
+
+pub struct TakesPart {
+    pub fleet: String,
+    pub member: MemberId,
+    pub about: About,
+    pub stewards: Vec<Address>,
+    pub renew: Tenths,
+}
+
+/// How its part ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It drained.
+    Drained,
+    /// Another life has taken its place while it was away.
+    Replaced,
+}
+
+struct Taking {
+    with: TakesPart,
+    clock: Clock,
+    callers: Vec<Caller>,
+    /// The latest that any steward said.
+    standing: RefCell<Option<Standing>>,
+    news: Notify,
+    /// The steward that answered last.
+    good: Cell<usize>,
+}
+
+impl Taking {
+    async fn renewing(&self, n: usize, part: &dyn Part) {
+        loop {
+            let seen = part.seen();
+            let said = Renew {
+                member: self.with.member,
+                incarnation: self.with.about.incarnation,
+                every_tenths: self.with.renew,
+                busy: seen.busy,
+                last_copies: seen.last_copies,
+            };
+            let patience = (2 * self.with.renew).max(SECOND);
+            match self.callers[n].call::<Standing>("renew", &said, patience).await {
+                Ok(told) => {
+                    let mut standing = self.standing.borrow_mut();
+                    if standing.as_ref().is_none_or(|s| told.revision >= s.revision) {
+                        let news = standing.as_ref() != Some(&told);
+                        *standing = Some(told);
+                        if news {
+                            self.news.notify_one();
+                        }
+                    }
+                }
+                Err(why) => debug!(%why, "no sign of life got through"),
+            }
+            self.clock.sleep_until(self.clock.now() + self.with.renew).await;
+        }
+    }
+
+    /// Has a change agreed, by whichever steward answers. None: whether it was done is not known.
+    async fn change(&self, change: Change) -> Option<Result<Changed, String>> {
+        let first = self.good.get();
+        for n in 0..self.callers.len() {
+            let at = (first + n) % self.callers.len();
+            let asked = Changes { change: change.clone() };
+            match self.callers[at].call::<Changed>("change", &asked, PATIENCE).await {
+                Ok(done) => {
+                    self.good.set(at);
+                    return Some(Ok(done));
+                }
+                Err(Fault::Told { code, message }) if code == REFUSED => return Some(Err(message)),
+                Err(Fault::Told { code, message }) if code == STRANGER => {
+                    warn!(message, "not a steward of this fleet");
+                }
+                Err(Fault::Told { code: NO_VOTE, .. }) => {}
+                Err(why) => debug!(%why, "a change was not settled"),
+            }
+        }
+        None
+    }
+
+    fn phase(&self) -> Option<(u64, Phase)> {
+        let standing = self.standing.borrow();
+        let s = standing.as_ref()?;
+        Some((s.incarnation?, s.phase.clone()?))
+    }
+
+    async fn steps(&self, part: &dyn Part) -> Ended {
+        let (member, incarnation) = (self.with.member, self.with.about.incarnation);
+        let mut draining = None;
+        loop {
+            let wait = self.clock.now() + self.with.renew.min(100 * MILLI);
+            tokio::select! {
+                biased;
+                () = self.news.notified() => {}
+                () = self.clock.sleep_until(wait) => {}
+            }
+            if let Some(grant) = draining {
+                if part.is_drained() {
+                    return self.leave(part, grant).await;
+                }
+                let back = self.standing.borrow().as_ref().is_some_and(|s| s.turn_back);
+                if back && part.turn_back() {
+                    // It serves again at once, and counts as out until this is agreed and it is proven.
+                    let told = self.change(Change::TurnedBack { member, incarnation, grant }).await;
+                    if matches!(told, Some(Ok(_))) {
+                        part.told("turned-back", grant);
+                        draining = None;
+                    }
+                }
+                continue;
+            }
+            let Some(standing) = self.standing.borrow().clone() else { continue };
+            match (standing.incarnation, standing.phase) {
+                (Some(known), Some(phase)) if known == incarnation => match phase {
+                    Phase::Starting { .. } if part.is_proven() => {
+                        self.change(Change::Proven { member, incarnation }).await;
+                    }
+                    Phase::Granted { grant } => {
+                        match self.change(Change::Begin { member, incarnation, grant }).await {
+                            Some(Ok(_)) => {
+                                draining = Some(grant);
+                                part.told("began", grant);
+                                part.drain();
+                            }
+                            Some(Err(why)) => info!(grant, why, "does not begin"),
+                            None => {}
+                        }
+                    }
+                    // It was agreed that it begins, and the answer was lost.
+                    Phase::Draining { grant } => {
+                        if let Some(Ok(_)) = self.change(Change::Begin { member, incarnation, grant }).await {
+                            draining = Some(grant);
+                            part.told("began", grant);
+                            part.drain();
+                        }
+                    }
+                    _ => {}
+                },
+                _ => {
+                    let about = self.with.about.clone();
+                    if let Some(Err(why)) = self.change(Change::Join { member, about }).await {
+                        warn!(%member, why, "can't join");
+                        if why.contains("was replaced") {
+                            part.told("replaced", 0);
+                            return Ended::Replaced;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn leave(&self, part: &dyn Part, grant: u64) -> Ended {
+        let (member, incarnation) = (self.with.member, self.with.about.incarnation);
+        part.told("drained", grant);
+        let until = self.clock.now() + LEAVING;
+        while self.clock.now() < until {
+            let leaving = self.change(Change::Leave { member, incarnation });
+            tokio::select! {
+                biased;
+                told = leaving => if told.is_some() { break },
+                () = self.clock.sleep_until(until) => {}
+            }
+            self.clock.sleep_until(self.clock.now() + 100 * MILLI).await;
+        }
+        Ended::Drained
+    }
+}
+
+/// Takes part until it has drained, or its place is another's.
+pub async fn take_part(with: TakesPart, network: Rc<dyn Network>, clock: Clock, part: Rc<dyn Part>) -> Ended {
+    let caller = |at: &Address| Caller::new(network.clone(), at.clone(), &with.fleet);
+    let callers: Vec<Caller> = with.stewards.iter().map(caller).collect();
+    let taking = Rc::new(Taking {
+        with,
+        clock,
+        callers,
+        standing: RefCell::default(),
+        news: Notify::new(),
+        good: Cell::new(0),
+    });
+    let mut renewing = tokio::task::JoinSet::new();
+    for n in 0..taking.callers.len() {
+        let (taking, part) = (taking.clone(), part.clone());
+        renewing.spawn_local(async move { taking.renewing(n, &*part).await });
+    }
+    let ended = taking.steps(&*part).await;
+    debug!(phase = ?taking.phase(), ?ended, "its part is over");
+    ended
+}
--- /dev/null
+++ b/crates/steward/src/propose.rs
@@ -0,0 +1,246 @@
+//! The proposing side: changes that wait together go in one round. A round that another overtook is tried again; what came
+//! of one that nobody answered is not known, and whoever asked is told so.
+
+use crate::caller::Fault;
+use crate::service::Steward;
+use crate::wire::{Accept, NO_VOTE, Prepare, REFUSED, UNSETTLED, Vote};
+use saltdrum::port::{MILLI, Tenths};
+use saltdrum_fleet::change::{Change, Done};
+use saltdrum_fleet::fleet::Fleet;
+use saltdrum_fleet::register::{Accepted, Ballot, Round, Voter};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tracing::debug;
+
+/// Waiting changes beyond this are refused at once.
+const WAITING_MOST: usize = 10_000;
+/// Of one message and its answer.
+const PATIENCE: Tenths = 700 * MILLI;
+/// Rounds that a batch is tried for.
+const TRIES: u32 = 12;
+
+pub type Told = Result<(Done, u64), (i64, String)>;
+
+pub struct Waiting {
+    change: Change,
+    to: oneshot::Sender<Told>,
+}
+
+/// How a round ended that changed nothing, as far as is known.
+enum Lost {
+    Overtaken(Ballot),
+    Unanswered,
+}
+
+impl Steward {
+    /// Proposes a change and waits for what comes of it.
+    pub async fn change(&self, change: Change) -> Told {
+        let (to, told) = oneshot::channel();
+        {
+            let mut waiting = self.waiting.borrow_mut();
+            if waiting.len() >= WAITING_MOST {
+                return Err((REFUSED, "too many changes wait: come back in a second".into()));
+            }
+            waiting.push(Waiting { change, to });
+        }
+        self.asked.notify_one();
+        told.await.unwrap_or_else(|_| Err((UNSETTLED, "the steward is ending".into())))
+    }
+
+    /// One batch after another, for as long as the steward lives.
+    pub(crate) async fn propose(self: Rc<Self>) {
+        loop {
+            self.asked.notified().await;
+            // Those who ask in the same turn come along.
+            tokio::task::yield_now().await;
+            let batch = std::mem::take(&mut *self.waiting.borrow_mut());
+            if !batch.is_empty() {
+                self.batch(batch).await;
+            }
+        }
+    }
+
+    async fn batch(self: &Rc<Self>, batch: Vec<Waiting>) {
+        let mut last = "no majority answered";
+        for tries in 0..TRIES {
+            if self.booth.borrow().is_returning() {
+                let told = "this steward is returning and does not propose yet";
+                for w in batch {
+                    let _ = w.to.send(Err((NO_VOTE, told.into())));
+                }
+                return;
+            }
+            let changes: Vec<&Change> = batch.iter().map(|w| &w.change).collect();
+            match self.round(&changes).await {
+                Ok((fleet, told)) => {
+                    for (w, told) in batch.into_iter().zip(told) {
+                        let told = told.map(|done| (done, fleet.revision));
+                        // Whoever has hung up is not told; the change stands.
+                        let _ = w.to.send(told.map_err(|r| (REFUSED, r.to_string())));
+                    }
+                    return;
+                }
+                Err(Lost::Overtaken(by)) => {
+                    self.highest.set(self.highest.get().max(by));
+                    last = "others changed it all the while";
+                    let most = (4u64 << tries.min(6)).min(200);
+                    let wait = 1 + self.rng.borrow_mut().u64(..most);
+                    tokio::time::sleep(Duration::from_millis(wait)).await;
+                }
+                Err(Lost::Unanswered) => {
+                    last = "no majority answered";
+                    if tries >= 2 {
+                        break;
+                    }
+                }
+            }
+        }
+        for w in batch {
+            let told = format!("whether it was done is not known: {last}; ask again");
+            let _ = w.to.send(Err((UNSETTLED, told)));
+        }
+    }
+
+    /// One round: reads, changes, puts. Gives the value that stands and what came of each change.
+    async fn round(
+        self: &Rc<Self>,
+        changes: &[&Change],
+    ) -> Result<(Rc<Fleet>, Vec<Result<Done, saltdrum_fleet::Refusal>>), Lost> {
+        let (me, config) = {
+            let booth = self.booth.borrow();
+            self.highest.set(self.highest.get().max(booth.promised()));
+            (booth.me(), booth.config(&self.seat.founding.config))
+        };
+        let ballot = Ballot::above(self.highest.get(), me.steward, self.seat.life);
+        self.highest.set(ballot);
+        let mut round: Round<Fleet> = Round::new(ballot, config);
+        let (to, mut votes) = mpsc::unbounded_channel();
+        let mut asked = BTreeSet::new();
+        self.ask_all(&mut asked, round.asks(), |voter, this| {
+            let have = this.booth.borrow().accepted().map_or(Ballot::default(), |a| a.0);
+            this.ask_promise(Prepare { to: voter, ballot, have }, to.clone());
+        });
+        let (mut silent, mut overtaken) = (BTreeSet::new(), None);
+        while !round.is_read() {
+            // Each that was asked answers, or is told to have not, in bounded time.
+            let Some((from, vote)) = votes.recv().await else { return Err(Lost::Unanswered) };
+            match vote {
+                Ok(Vote::Promised { accepted, value, .. }) => {
+                    let value = value.or_else(|| {
+                        let booth = self.booth.borrow();
+                        let mine = booth.accepted().filter(|(b, _)| Some(*b) == accepted);
+                        mine.map(|(_, v)| Box::new(v.clone()))
+                    });
+                    let accepted = match (accepted, value) {
+                        (Some(ballot), Some(value)) => Some(Accepted { ballot, value: *value }),
+                        (None, _) => None,
+                        // It said that we have it, and we have another by now.
+                        (Some(_), None) => {
+                            silent.insert(from);
+                            continue;
+                        }
+                    };
+                    round.promised(from, accepted);
+                    self.ask_all(&mut asked, round.asks(), |voter, this| {
+                        let have = this.booth.borrow().accepted().map_or(Ballot::default(), |a| a.0);
+                        this.ask_promise(Prepare { to: voter, ballot, have }, to.clone());
+                    });
+                }
+                Ok(Vote::Refused { promised }) => {
+                    overtaken = overtaken.max(Some(promised));
+                    silent.insert(from);
+                }
+                _ => drop(silent.insert(from)),
+            }
+            if !round.is_read() && round.has_promised().len() + silent.len() >= asked.len() {
+                return Err(overtaken.map_or(Lost::Unanswered, Lost::Overtaken));
+            }
+        }
+        let mut fleet = round.read().map_or_else(|| self.seat.founding.clone(), |a| a.value.clone());
+        let told: Vec<_> = changes.iter().map(|c| fleet.apply(c)).collect();
+        let fleet = Rc::new(fleet);
+        let to_accept = round.put((*fleet).clone());
+        let (to, mut votes) = mpsc::unbounded_channel();
+        let value = Rc::new(Box::new((*fleet).clone()));
+        let mut asked = BTreeSet::new();
+        self.ask_all(&mut asked, to_accept, |voter, this| {
+            this.ask_accept(Accept { to: voter, ballot, value: (*value).clone() }, to.clone());
+        });
+        drop(to);
+        let mut overtaken = None;
+        while let Some((from, vote)) = votes.recv().await {
+            match vote {
+                Ok(Vote::Accepted { .. }) if round.accepted(from) => {
+                    self.decided(ballot, fleet.clone());
+                    debug!(revision = fleet.revision, changes = changes.len(), "agreed");
+                    return Ok((fleet, told));
+                }
+                Ok(Vote::Refused { promised }) => overtaken = overtaken.max(Some(promised)),
+                _ => {}
+            }
+        }
+        // Some may have accepted it: the next round, whoever's, finds it or not. Changes may come twice.
+        Err(overtaken.map_or(Lost::Unanswered, Lost::Overtaken))
+    }
+
+    fn ask_all(
+        self: &Rc<Self>,
+        asked: &mut BTreeSet<Voter>,
+        all: BTreeSet<Voter>,
+        ask: impl Fn(Voter, &Rc<Self>),
+    ) {
+        for voter in all {
+            if asked.insert(voter) {
+                ask(voter, self);
+            }
+        }
+    }
+
+    fn ask_promise(self: &Rc<Self>, asked: Prepare, to: mpsc::UnboundedSender<(Voter, Result<Vote, Fault>)>) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let voter = asked.to;
+            let vote = if voter == this.booth.borrow().me() {
+                let vote = this.booth.borrow_mut().prepare(&asked);
+                vote.map_err(|(code, message)| Fault::Told { code, message })
+            } else {
+                match this.peer(voter.steward) {
+                    Some(peer) => peer.call("prepare", &asked, PATIENCE).await,
+                    None => Err(Fault::Told { code: NO_VOTE, message: "no address".into() }),
+                }
+            };
+            this.hear_vote(voter, &vote);
+            let _ = to.send((voter, vote));
+        });
+    }
+
+    fn ask_accept(self: &Rc<Self>, asked: Accept, to: mpsc::UnboundedSender<(Voter, Result<Vote, Fault>)>) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let voter = asked.to;
+            let vote = if voter == this.booth.borrow().me() {
+                let vote = this.booth.borrow_mut().accept(asked);
+                vote.map_err(|(code, message)| Fault::Told { code, message })
+            } else {
+                match this.peer(voter.steward) {
+                    Some(peer) => peer.call("accept", &asked, PATIENCE).await,
+                    None => Err(Fault::Told { code: NO_VOTE, message: "no address".into() }),
+                }
+            };
+            this.hear_vote(voter, &vote);
+            let _ = to.send((voter, vote));
+        });
+    }
+
+    fn hear_vote(&self, voter: Voter, vote: &Result<Vote, Fault>) {
+        match vote {
+            Ok(Vote::Promised { writes, .. } | Vote::Accepted { writes }) => {
+                self.booth.borrow_mut().hear_writes(voter, *writes);
+            }
+            Ok(Vote::Refused { promised }) => self.highest.set(self.highest.get().max(*promised)),
+            Err(why) => debug!(%voter, %why, "no vote"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steward/src/terms.rs
@@ -0,0 +1,141 @@
+//! What a deployment's script says of its fleet: `fleet(...)` once, `bound(...)` as often as there are bounds.
+
+use saltdrum::port::Tenths;
+use saltdrum_deployment::units::{Memory, Span};
+use saltdrum_deployment::{Fault, Statement};
+use saltdrum_fleet::bounds::{Bound, Per};
+use saltdrum_fleet::fleet::Kind;
+use serde::Deserialize;
+
+#[derive(Clone, Debug)]
+pub struct FleetTerms {
+    pub name: String,
+    /// Members give a sign of life so often.
+    pub renew: Tenths,
+    /// Members whose silence is this unusual, by most stewards, are lost.
+    pub suspect_level: f64,
+    /// A grant that nobody took up is taken back after this.
+    pub grant_for: Tenths,
+    /// A drain is told as late after this.
+    pub drain_for: Tenths,
+    /// Halts itself when a member that came back is not proven within this; 0: never.
+    pub prove_within: Tenths,
+    /// Halts itself when more than so many are lost; 0: never.
+    pub halt_at_lost: usize,
+    pub bounds: Vec<Bound>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidFleet {
+    name: String,
+    #[serde(default = "half")]
+    renew: Span,
+    #[serde(default = "eight")]
+    suspect_level: f64,
+    #[serde(default = "ten")]
+    grant_for: Span,
+    #[serde(default = "minutes")]
+    drain_for: Span,
+    #[serde(default)]
+    prove_within: Span,
+    #[serde(default)]
+    halt_at_lost: usize,
+}
+
+fn half() -> Span {
+    Span(5_000)
+}
+fn eight() -> f64 {
+    8.0
+}
+fn ten() -> Span {
+    Span(100_000)
+}
+fn minutes() -> Span {
+    Span(3_000_000)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidBound {
+    kind: Option<String>,
+    site: Option<String>,
+    per: Option<String>,
+    out: Option<u32>,
+    share: Option<f64>,
+    least_size: Option<f64>,
+    least_memory: Option<Memory>,
+}
+
+impl FleetTerms {
+    /// Takes the fleet's statements out of those that describe no deployment; none: the script states no fleet.
+    pub fn take(rest: &mut Vec<Statement>) -> Result<Option<Self>, Fault> {
+        let (mine, others): (Vec<_>, Vec<_>) =
+            std::mem::take(rest).into_iter().partition(|s| matches!(s.what, "fleet" | "bound"));
+        *rest = others;
+        let mut stated: Option<Self> = None;
+        let mut bounds = Vec::new();
+        for s in &mine {
+            match (s.what, &stated) {
+                ("fleet", None) => stated = Some(fleet(s)?),
+                ("fleet", Some(_)) => return Err(s.fault("stated a second time")),
+                _ => bounds.push(bound(s)?),
+            }
+        }
+        match (&mut stated, mine.first()) {
+            (None, Some(s)) => return Err(s.fault("no fleet(...) is stated")),
+            (Some(stated), _) => stated.bounds = bounds,
+            (None, None) => {}
+        }
+        Ok(stated)
+    }
+}
+
+fn fleet(s: &Statement) -> Result<FleetTerms, Fault> {
+    let said: SaidFleet = s.read()?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
+    if said.name.is_empty() || said.name.len() > 64 || !said.name.chars().all(plain) {
+        return Err(s.fault("name: letters, digits and '-' are expected, up to 64"));
+    }
+    if !(100..=600_000).contains(&said.renew.0) {
+        return Err(s.fault("renew: 10ms to 60s are expected"));
+    }
+    if !(0.5..=100.0).contains(&said.suspect_level) {
+        return Err(s.fault("suspect_level: 0.5 to 100 are expected"));
+    }
+    Ok(FleetTerms {
+        name: said.name,
+        renew: said.renew.0,
+        suspect_level: said.suspect_level,
+        grant_for: said.grant_for.0,
+        drain_for: said.drain_for.0,
+        prove_within: said.prove_within.0,
+        halt_at_lost: said.halt_at_lost,
+        bounds: Vec::new(),
+    })
+}
+
+fn word<T: Copy>(s: &Statement, name: &str, said: &str, words: &[(&str, T)]) -> Result<T, Fault> {
+    words.iter().find(|(word, _)| *word == said).map(|(_, is)| *is).ok_or_else(|| {
+        let known: Vec<&str> = words.iter().map(|w| w.0).collect();
+        s.fault(format!("{name} '{said}': one of {} is expected", known.join(", ")))
+    })
+}
+
+fn bound(s: &Statement) -> Result<Bound, Fault> {
+    let said: SaidBound = s.read()?;
+    let kinds = [("controller", Kind::Controller), ("invoker", Kind::Invoker)];
+    let pers = [("fleet", Per::Fleet), ("site", Per::Site), ("cell", Per::Cell)];
+    let bound = Bound {
+        kind: said.kind.as_ref().map(|k| word(s, "kind", k, &kinds)).transpose()?,
+        site: said.site,
+        per: said.per.as_ref().map_or(Ok(Per::Fleet), |p| word(s, "per", p, &pers))?,
+        out: said.out,
+        share: said.share,
+        least_size: said.least_size,
+        least_memory_mb: said.least_memory.map(|m| m.0),
+    };
+    bound.fits().map_err(|e| s.fault(e))?;
+    Ok(bound)
+}
--- /dev/null
+++ b/crates/steward/src/vote.rs
@@ -0,0 +1,141 @@
+//! The voting side: what others ask of this steward's acceptor. Nothing is answered before it is on disk.
+
+use crate::disk::Disk;
+use crate::wire::{Accept, NO_VOTE, Prepare, Vote};
+use saltdrum_fleet::fleet::Fleet;
+use saltdrum_fleet::recovery::{Heard, Returning, Verdict};
+use saltdrum_fleet::register::{Acceptor, Ballot, Config, Voter};
+use std::collections::BTreeMap;
+use tracing::{info, warn};
+
+pub type Refused = (i64, String);
+
+pub struct Booth {
+    disk: Disk,
+    acceptor: Acceptor<Fleet>,
+    /// Until it may vote again.
+    returning: Option<Returning<Fleet>>,
+    /// The most writes that each voter was heard of.
+    writes: BTreeMap<Voter, u64>,
+}
+
+impl Booth {
+    pub fn new(disk: Disk, acceptor: Acceptor<Fleet>, founding: Config) -> Self {
+        let me = disk.identity.voter;
+        let returning = Some(Returning::new(me, acceptor.clone(), founding));
+        Self { disk, acceptor, returning, writes: BTreeMap::new() }
+    }
+
+    pub fn me(&self) -> Voter {
+        self.disk.identity.voter
+    }
+
+    pub fn is_returning(&self) -> bool {
+        self.returning.is_some()
+    }
+
+    pub fn is_writable(&self) -> bool {
+        self.disk.is_writable()
+    }
+
+    pub fn writes(&self) -> u64 {
+        self.acceptor.writes
+    }
+
+    pub fn promised(&self) -> Ballot {
+        self.acceptor.promised
+    }
+
+    pub fn accepted(&self) -> Option<(Ballot, &Fleet)> {
+        self.acceptor.accepted.as_ref().map(|a| (a.ballot, &a.value))
+    }
+
+    /// What a voter was heard to have written; an old copy of its disk shows by that.
+    pub fn hear_writes(&mut self, of: Voter, writes: u64) {
+        let known = self.writes.entry(of).or_default();
+        *known = (*known).max(writes);
+    }
+
+    /// The config that this steward would ask, as far as it knows.
+    pub fn config(&self, founding: &Config) -> Config {
+        self.acceptor.accepted.as_ref().map_or_else(|| founding.clone(), |a| a.value.config.clone())
+    }
+
+    fn may_vote(&self, to: Voter) -> Result<(), Refused> {
+        if to != self.me() {
+            return Err((NO_VOTE, format!("{to} is not here: this is {}", self.me())));
+        }
+        if self.returning.is_some() {
+            return Err((NO_VOTE, format!("{to} is returning and does not vote yet")));
+        }
+        Ok(())
+    }
+
+    /// Makes a change of the acceptor and brings it to disk. On a disk that does not take it, it stays as it was, as far as
+    /// the disk can be read; where not, it does not vote.
+    fn change<T>(&mut self, change: impl FnOnce(&mut Acceptor<Fleet>) -> T) -> Result<T, Refused> {
+        if !self.disk.is_writable() {
+            let read = self.disk.come_back().map_err(|e| (NO_VOTE, e.to_string()))?;
+            // What was told is on it, or it is no disk to vote from.
+            if read.writes < self.acceptor.writes {
+                return Err((NO_VOTE, "the disk has less than was written to it".into()));
+            }
+            self.acceptor = read;
+        }
+        let mut next = self.acceptor.clone();
+        let told = change(&mut next);
+        if next.writes != self.acceptor.writes {
+            if let Err(fault) = self.disk.keep(&next) {
+                warn!(%fault, "the disk takes nothing: this steward does not vote");
+                return Err((NO_VOTE, fault.to_string()));
+            }
+            self.acceptor = next;
+        }
+        Ok(told)
+    }
+
+    pub fn prepare(&mut self, asked: &Prepare) -> Result<Vote, Refused> {
+        self.may_vote(asked.to)?;
+        let told = self.change(|a| a.prepare(asked.ballot).map(|a| a.cloned()))?;
+        let writes = self.acceptor.writes;
+        Ok(match told {
+            Err(promised) => Vote::Refused { promised },
+            Ok(None) => Vote::Promised { accepted: None, value: None, writes },
+            Ok(Some(a)) => {
+                let value = (a.ballot != asked.have).then(|| Box::new(a.value));
+                Vote::Promised { accepted: Some(a.ballot), value, writes }
+            }
+        })
+    }
+
+    pub fn accept(&mut self, asked: Accept) -> Result<Vote, Refused> {
+        self.may_vote(asked.to)?;
+        let told = self.change(|a| a.accept(asked.ballot, *asked.value))?;
+        let writes = self.acceptor.writes;
+        Ok(match told {
+            Err(promised) => Vote::Refused { promised },
+            Ok(()) => Vote::Accepted { writes },
+        })
+    }
+
+    /// What another that starts is told.
+    pub fn recover(&self, from: Voter) -> Heard<Fleet> {
+        let writes_of_yours = self.writes.get(&from).copied().unwrap_or(0);
+        Heard { returning: self.returning.is_some(), acceptor: self.acceptor.clone(), writes_of_yours }
+    }
+
+    /// Another answered this one, which has started.
+    pub fn heard(&mut self, from: Voter, what: Heard<Fleet>) -> Result<Verdict, Refused> {
+        let Some(returning) = &mut self.returning else { return Ok(Verdict::Vote) };
+        returning.heard(from, what);
+        let verdict = returning.verdict();
+        if verdict == Verdict::Vote {
+            let adopted = returning.clone().adopt();
+            let writes = adopted.writes;
+            self.change(|a| *a = adopted)?;
+            self.returning = None;
+            info!(voter = %self.me(), writes, "votes");
+        }
+        Ok(verdict)
+    }
+}
