Stewards, members and operators as processes: one drain asked, granted, done, returned

A member begins only after the fleet has agreed that it does. Found on it: a founding steward that came second took the first's promises for the loss of its own disk and ended; what tells a returning steward enough is now heard after its start alone.

--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,615 @@
+//! `saltdrum steward`, `saltdrum fleet`, and how controllers and invokers take part in a fleet.
+
+use crate::run::{fleet_terms, on_this_thread, until_interrupted};
+use clap::{Args, Subcommand};
+use comfy_table::{Table, presets};
+use saltdrum::port::{SECOND, Tenths};
+use saltdrum_controller::going::{Going, Step};
+use saltdrum_deployment::Terms;
+use saltdrum_fleet::bounds::Bound;
+use saltdrum_fleet::change::Change;
+use saltdrum_fleet::fleet::{self as agreed, About, MemberId, Phase};
+use saltdrum_fleet::next::{Batch, Seen};
+use saltdrum_fleet::register::{Config, Voter};
+use saltdrum_link::{Address, Clock, Sockets};
+use saltdrum_protocol::list::Life;
+use saltdrum_standin::Invoker;
+use saltdrum_steward::caller::{Caller, Fault};
+use saltdrum_steward::disk::{Disk, Identity, SCHEMA};
+use saltdrum_steward::member::Ended;
+use saltdrum_steward::wire::{Changed, Changes, DryRun, UNSETTLED};
+use saltdrum_steward::{FleetTerms, Part, Seat, TakesPart, service, take_part};
+use serde::Deserialize;
+use serde_json::json;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+type Done = Result<u8, String>;
+
+/// Of one clock for all processes of a machine, in nanoseconds.
+fn monotonic_ns() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec as u64 * 1_000_000_000 + now.tv_nsec as u64
+}
+
+/// How a process joins the fleet that its deployment's script states.
+#[derive(Args, Clone)]
+pub struct Joins {
+    /// Where a steward is; once for each. Without it the process takes part in no fleet.
+    #[arg(long = "steward")]
+    stewards: Vec<String>,
+    /// The invoker starts cold and empty.
+    #[arg(long, requires = "stewards")]
+    pub cold: bool,
+}
+
+#[derive(Clone)]
+pub struct Joined {
+    stewards: Vec<Address>,
+    terms: FleetTerms,
+}
+
+impl Joins {
+    pub fn checked(&self, terms: Option<&FleetTerms>) -> Result<Option<Joined>, String> {
+        if self.stewards.is_empty() {
+            return Ok(None);
+        }
+        let terms = terms.ok_or("--steward: the script states no fleet(...)")?.clone();
+        let stewards = self.stewards.iter().map(|s| s.parse()).collect::<Result<_, String>>()?;
+        Ok(Some(Joined { stewards, terms }))
+    }
+}
+
+fn note(member: MemberId, incarnation: u64, what: &str, grant: u64) {
+    let line = json!({"at_ns": monotonic_ns(), "member": member, "incarnation": incarnation, "what": what, "grant": grant});
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
+
+impl Joined {
+    fn takes_part(&self, member: MemberId, about: About) -> TakesPart {
+        TakesPart {
+            fleet: self.terms.name.clone(),
+            member,
+            about,
+            stewards: self.stewards.clone(),
+            renew: self.terms.renew,
+        }
+    }
+
+    pub fn controller(
+        &self,
+        number: u32,
+        incarnation: u64,
+        zone: u8,
+        terms: &Terms,
+        clients: &Address,
+        going: &Going,
+    ) -> (TakesPart, Rc<dyn Part>) {
+        let member = MemberId::controller(number);
+        let about = About {
+            incarnation,
+            site: terms.zones.get(usize::from(zone)).cloned().unwrap_or_default(),
+            cell: 0,
+            size: 1.0,
+            memory_mb: 0.0,
+            version: env!("CARGO_PKG_VERSION").into(),
+            address: clients.to_string(),
+            machine: 0,
+            zone,
+        };
+        let part = ControllerPart {
+            member,
+            incarnation,
+            going: going.clone(),
+            // Clients on their way hear of it before anything is throttled.
+            lead: 2 * terms.deployment.drain_grace,
+            closes: Rc::default(),
+        };
+        (self.takes_part(member, about), Rc::new(part))
+    }
+
+    pub fn invoker(&self, invoker: &Rc<Invoker>) -> (TakesPart, Rc<dyn Part>) {
+        let entry = invoker.entry(Life::Ready);
+        let site = &invoker.site;
+        let member = MemberId::invoker(entry.invoker);
+        let about = About {
+            incarnation: entry.incarnation,
+            site: site.terms.zones.get(usize::from(entry.zone)).cloned().unwrap_or_default(),
+            cell: entry.cell,
+            size: f64::from(entry.size),
+            memory_mb: site.terms.kinds[site.stated.kind].memory.0,
+            version: env!("CARGO_PKG_VERSION").into(),
+            address: entry.address,
+            machine: entry.kind,
+            zone: entry.zone,
+        };
+        let part = InvokerPart {
+            member,
+            incarnation: entry.incarnation,
+            invoker: invoker.clone(),
+            // The list's way to controllers, and what was on its way to us then.
+            quiet: 2 * site.terms.deployment.drain_grace,
+            drains: Cell::default(),
+        };
+        (self.takes_part(member, about), Rc::new(part))
+    }
+}
+
+struct ControllerPart {
+    member: MemberId,
+    incarnation: u64,
+    going: Going,
+    lead: Tenths,
+    /// Which drain it is; one that was turned back closes no door later.
+    closes: Rc<Cell<u64>>,
+}
+
+impl Part for ControllerPart {
+    fn is_proven(&self) -> bool {
+        let look = self.going.look();
+        look.listed && look.links_up * 2 >= look.links
+    }
+
+    fn seen(&self) -> Seen {
+        Seen { busy: self.going.look().in_flight as f64 / 1_000.0, last_copies: 0 }
+    }
+
+    fn drain(&self) {
+        self.going.to(Step::LeadingAway);
+        self.closes.set(self.closes.get() + 1);
+        let (mine, closes, going, lead) =
+            (self.closes.get(), self.closes.clone(), self.going.clone(), self.lead);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_micros(lead * 100)).await;
+            if closes.get() == mine {
+                going.to(Step::Closed);
+            }
+        });
+    }
+
+    fn is_drained(&self) -> bool {
+        self.going.step() == Step::Closed && self.going.look().in_flight == 0
+    }
+
+    fn turn_back(&self) -> bool {
+        self.closes.set(self.closes.get() + 1);
+        self.going.to(Step::Serving);
+        true
+    }
+
+    fn told(&self, what: &'static str, grant: u64) {
+        note(self.member, self.incarnation, what, grant);
+    }
+}
+
+struct InvokerPart {
+    member: MemberId,
+    incarnation: u64,
+    invoker: Rc<Invoker>,
+    quiet: Tenths,
+    drains: Cell<Option<Tenths>>,
+}
+
+impl Part for InvokerPart {
+    fn is_proven(&self) -> bool {
+        let (site, entry) = (&self.invoker.site, self.invoker.entry(Life::Ready));
+        entry.age_tenths >= site.terms.deployment.cold_time
+    }
+
+    fn seen(&self) -> Seen {
+        let size = f64::from(self.invoker.entry(Life::Ready).size).max(1.0);
+        Seen { busy: self.invoker.in_hand() as f64 / size, last_copies: 0 }
+    }
+
+    fn drain(&self) {
+        self.drains.set(Some(self.invoker.site.clock.now()));
+    }
+
+    fn is_drained(&self) -> bool {
+        let now = self.invoker.site.clock.now();
+        self.invoker.in_hand() == 0 && self.drains.get().is_some_and(|at| now >= at + self.quiet)
+    }
+
+    fn turn_back(&self) -> bool {
+        self.drains.set(None);
+        true
+    }
+
+    fn told(&self, what: &'static str, grant: u64) {
+        note(self.member, self.incarnation, what, grant);
+    }
+}
+
+/// Takes part until it is over; for ever where there is no fleet.
+pub async fn takes_part(part: Option<(TakesPart, Rc<dyn Part>)>) -> Result<(), String> {
+    let Some((with, part)) = part else { return std::future::pending().await };
+    let member = with.member;
+    match take_part(with, Rc::new(Sockets), Clock::start(), part).await {
+        Ended::Drained => Ok(()),
+        Ended::Replaced => Err(format!("{member}: another life has taken its place")),
+    }
+}
+
+/// One steward.
+#[derive(Args)]
+pub struct Runs {
+    deployment: PathBuf,
+    #[arg(long)]
+    number: u32,
+    #[arg(long)]
+    listen: String,
+    /// Where it serves the invoker list.
+    #[arg(long)]
+    list: Option<String>,
+    /// File that it keeps what it promised in.
+    #[arg(long)]
+    disk: PathBuf,
+    /// NUMBER=ADDRESS; once for each steward of the fleet as it was founded, this one too.
+    #[arg(long = "steward", required = true)]
+    stewards: Vec<String>,
+    /// It is one of those that found the fleet, and starts for the first time or from the disk it began with.
+    #[arg(long)]
+    found: bool,
+}
+
+fn numbered(all: &[String]) -> Result<BTreeMap<u32, String>, String> {
+    let mut found = BTreeMap::new();
+    for said in all {
+        let (number, at) = said.split_once('=').ok_or(format!("'{said}': NUMBER=ADDRESS is expected"))?;
+        let number = number.parse().map_err(|_| format!("'{said}': a number is expected before '='"))?;
+        at.parse::<Address>()?;
+        if found.insert(number, at.to_owned()).is_some() {
+            return Err(format!("steward {number} is given twice"));
+        }
+    }
+    Ok(found)
+}
+
+pub fn steward(runs: &Runs) -> Done {
+    let (_, terms) = fleet_terms(&runs.deployment)?;
+    let terms = terms.ok_or(format!("{}: no fleet(...) is stated", runs.deployment.display()))?;
+    let stewards = numbered(&runs.stewards)?;
+    let founders: BTreeSet<Voter> = stewards.keys().map(|n| Voter { steward: *n, disk: 0 }).collect();
+    let config = Config::founding(founders).map_err(|e| format!("--steward: {e}"))?;
+    let founding =
+        agreed::Fleet::founded(&terms.name, config, stewards, terms.bounds.clone(), terms.halt_at_lost);
+    let disk = if runs.found { 0 } else { fastrand::u64(1..1 << 48) };
+    let voter = Voter { steward: runs.number, disk };
+    let new = Identity { schema: SCHEMA, fleet: terms.name.clone(), voter };
+    let (disk, acceptor) = Disk::open_file(&runs.disk, new).map_err(|e| e.to_string())?;
+    let seat = Seat {
+        number: runs.number,
+        life: fastrand::u64(1..1 << 48),
+        seed: fastrand::u64(..),
+        terms,
+        founding,
+        listen: runs.listen.parse()?,
+        list: runs.list.as_ref().map(|l| l.parse()).transpose()?,
+    };
+    println!("steward {} votes as {}", runs.number, disk.identity.voter);
+    on_this_thread(async {
+        tokio::select! {
+            biased;
+            done = service::serve(seat, disk, acceptor, Rc::new(Sockets), Clock::start()) => done.map(|()| 0),
+            () = until_interrupted() => Ok(0),
+        }
+    })?
+}
+
+/// Where stewards are, and of which fleet.
+#[derive(Args)]
+pub struct To {
+    /// Where a steward is; further ones are asked when it does not answer.
+    #[arg(long = "to", required = true)]
+    to: Vec<String>,
+    /// The fleet's name.
+    #[arg(long)]
+    fleet: String,
+}
+
+#[derive(Args)]
+pub struct By {
+    #[command(flatten)]
+    to: To,
+    /// Who asks, for the history.
+    #[arg(long, default_value = "operator")]
+    by: String,
+}
+
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Shows who is in, who is out and why nothing moves.
+    Status {
+        #[command(flatten)]
+        to: To,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Asks that members drain and come back, as many at a time as the bounds leave room for.
+    Drain {
+        #[command(flatten)]
+        by: By,
+        /// Who asks with an id again, after a lost answer, starts nothing twice.
+        #[arg(long)]
+        id: String,
+        /// controller-N or invoker-N
+        #[arg(required = true)]
+        members: Vec<MemberId>,
+        /// Shows the order and what limits it, and changes nothing.
+        #[arg(long)]
+        dry_run: bool,
+        /// Shows progress until the ask is over.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Withdraws: what has not begun stays, what drains may turn back.
+    Back {
+        #[command(flatten)]
+        by: By,
+        #[arg(required = true)]
+        members: Vec<MemberId>,
+    },
+    /// No drain begins any more, once this is told as done.
+    Halt {
+        #[command(flatten)]
+        by: By,
+        #[arg(long)]
+        why: String,
+    },
+    /// Goes on with what is left.
+    Resume {
+        #[command(flatten)]
+        by: By,
+    },
+    /// A member that is lost or away does not come back, and is not counted any more.
+    Forget {
+        #[command(flatten)]
+        by: By,
+        member: MemberId,
+    },
+    /// Takes the bounds of a script in place of those that hold.
+    Bounds {
+        #[command(flatten)]
+        by: By,
+        deployment: PathBuf,
+    },
+    /// Puts other stewards in place: VOTER as each prints it at its start, steward-N/DISK=ADDRESS.
+    Stewards {
+        #[command(flatten)]
+        by: By,
+        #[arg(required = true)]
+        voters: Vec<String>,
+    },
+    /// What happened, oldest first.
+    History {
+        #[command(flatten)]
+        to: To,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Deserialize)]
+struct Status {
+    steward: u32,
+    votes: bool,
+    waits_for: Option<String>,
+    fleet: Option<agreed::Fleet>,
+}
+
+const PATIENCE: Tenths = 5 * SECOND;
+
+impl To {
+    fn callers(&self) -> Result<Vec<Caller>, String> {
+        let caller = |at: &String| {
+            let at = at.parse::<Address>()?;
+            Ok(Caller::new(Rc::new(Sockets), at, &self.fleet))
+        };
+        self.to.iter().map(caller).collect()
+    }
+
+    /// The first answer that any steward gives; one that is not settled asks the next.
+    async fn ask<T: serde::de::DeserializeOwned>(
+        &self,
+        method: &str,
+        what: &impl serde::Serialize,
+    ) -> Result<T, String> {
+        let mut last = String::new();
+        for caller in self.callers()? {
+            match caller.call(method, what, PATIENCE).await {
+                Ok(told) => return Ok(told),
+                Err(Fault::Told { code, message }) if code == saltdrum_steward::wire::REFUSED => {
+                    return Err(message);
+                }
+                Err(Fault::Told { code: UNSETTLED, message }) => last = message,
+                Err(why) => last = why.to_string(),
+            }
+        }
+        Err(last)
+    }
+
+    async fn change(&self, change: Change) -> Done {
+        let told: Changed = self.ask("change", &Changes { change }).await?;
+        let what = if told.changed { "done" } else { "done before" };
+        println!("{what}, at revision {}", told.revision);
+        Ok(0)
+    }
+
+    async fn status(&self) -> Result<Status, String> {
+        self.ask("status", &json!({})).await
+    }
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(head.iter().copied());
+    table
+}
+
+fn print_status(s: &Status) {
+    let votes = if s.votes { "votes" } else { "does not vote" };
+    let Some(fleet) = &s.fleet else {
+        println!("steward {} {votes}, and knows nothing of the fleet yet", s.steward);
+        return;
+    };
+    println!(
+        "fleet {}, revision {}, told by steward {}, which {votes}",
+        fleet.name, fleet.revision, s.steward
+    );
+    let mut counts: BTreeMap<(String, &str), usize> = BTreeMap::new();
+    for (id, m) in &fleet.members {
+        let kind = id.to_string().split('-').next().unwrap_or_default().to_owned();
+        *counts.entry((kind, m.phase.word())).or_default() += 1;
+    }
+    for ((kind, phase), n) in counts {
+        println!("  {n} {kind}s {phase}");
+    }
+    if let Some(h) = &fleet.halt {
+        println!("HALTED at revision {} by {}: {}; ends by {}", h.revision, h.by, h.why, h.ends);
+    }
+    let out: Vec<_> = fleet.out().collect();
+    if !out.is_empty() {
+        let mut t = table(&["out", "is", "since revision", "site", "cell", "version"]);
+        for (id, m) in out {
+            let (phase, site) = (m.phase.word().to_owned(), m.about.site.clone());
+            t.add_row([
+                id.to_string(),
+                phase,
+                m.since.to_string(),
+                site,
+                m.about.cell.to_string(),
+                m.about.version.clone(),
+            ]);
+        }
+        println!("{t}");
+    }
+    for (id, a) in &fleet.asks {
+        let n = [a.waiting.len(), a.under_way.len(), a.finished.len(), a.withdrawn.len()];
+        println!(
+            "ask '{id}' by {}: {} waiting, {} under way, {} finished, {} withdrawn",
+            a.by, n[0], n[1], n[2], n[3]
+        );
+    }
+    if let Some(why) = &s.waits_for {
+        println!("waits: {why}");
+    }
+}
+
+async fn wait_for(to: &To, id: &str) -> Done {
+    let mut last = String::new();
+    loop {
+        // A steward that does not answer now may do so again: the ask goes on without us.
+        if let Ok(s) = to.status().await
+            && let Some(fleet) = &s.fleet
+            && let Some(ask) = fleet.asks.get(id)
+        {
+            let n = ask.waiting.len() + ask.under_way.len();
+            let away = ask
+                .under_way
+                .iter()
+                .filter(|m| fleet.members.get(m).is_some_and(|m| matches!(m.phase, Phase::Away { .. })));
+            let now = format!(
+                "{} finished, {} under way ({} away), {} waiting{}",
+                ask.finished.len(),
+                ask.under_way.len(),
+                away.count(),
+                ask.waiting.len(),
+                s.waits_for.as_ref().filter(|_| n > 0).map_or(String::new(), |w| format!("; {w}")),
+            );
+            if now != last {
+                println!("{now}");
+                last = now;
+            }
+            if ask.is_over() {
+                return Ok(0);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+pub fn run(what: &Fleet) -> Done {
+    on_this_thread(async {
+        match what {
+            Fleet::Status { to, json: false } => {
+                print_status(&to.status().await?);
+                Ok(0)
+            }
+            Fleet::Status { to, json: true } => {
+                let told: serde_json::Value = to.ask("status", &json!({})).await?;
+                println!("{told}");
+                Ok(0)
+            }
+            Fleet::History { to, json } => {
+                let fleet = to.status().await?.fleet.ok_or("nothing is known of the fleet yet")?;
+                for event in &fleet.history {
+                    match json {
+                        true => println!("{}", json!(event)),
+                        false => println!("{:>8}  {}", event.revision, event.what),
+                    }
+                }
+                Ok(0)
+            }
+            Fleet::Drain { by, members, dry_run: true, .. } => {
+                let batches: Vec<Batch> = by.to.ask("dry_run", &DryRun { members: members.clone() }).await?;
+                let mut t = table(&["step", "out together", "what limits it"]);
+                for (n, b) in batches.iter().enumerate() {
+                    let go: Vec<String> = b.go.iter().map(ToString::to_string).collect();
+                    t.add_row([(n + 1).to_string(), go.join(" "), b.limit.clone().unwrap_or_default()]);
+                }
+                println!(
+                    "{t}\n{} steps: at best that many times one member's drain and return",
+                    batches.len()
+                );
+                Ok(0)
+            }
+            Fleet::Drain { by, id, members, wait, .. } => {
+                let ask = Change::Ask { id: id.clone(), members: members.clone(), by: by.by.clone() };
+                by.to.change(ask).await?;
+                if *wait { wait_for(&by.to, id).await } else { Ok(0) }
+            }
+            Fleet::Back { by, members } => {
+                by.to.change(Change::Withdraw { members: members.clone(), by: by.by.clone() }).await
+            }
+            Fleet::Halt { by, why } => {
+                let ends = "an operator's resume".to_owned();
+                by.to.change(Change::Halt { by: by.by.clone(), why: why.clone(), ends }).await
+            }
+            Fleet::Resume { by } => by.to.change(Change::Resume { by: by.by.clone() }).await,
+            Fleet::Forget { by, member } => {
+                by.to.change(Change::Forget { member: *member, by: by.by.clone() }).await
+            }
+            Fleet::Bounds { by, deployment } => {
+                let (_, terms) = fleet_terms(deployment)?;
+                let terms = terms.ok_or(format!("{}: no fleet(...) is stated", deployment.display()))?;
+                let bounds: Vec<Bound> = terms.bounds;
+                by.to.change(Change::Bounds { bounds, by: by.by.clone() }).await
+            }
+            Fleet::Stewards { by, voters } => {
+                let (mut all, mut at) = (BTreeSet::new(), BTreeMap::new());
+                for said in voters {
+                    let (voter, address) = voter(said)?;
+                    all.insert(voter);
+                    at.insert(voter.steward, address);
+                }
+                by.to.change(Change::Stewards { voters: all, at, by: by.by.clone() }).await
+            }
+        }
+    })?
+}
+
+fn voter(said: &str) -> Result<(Voter, String), String> {
+    let fault = || format!("'{said}': steward-N/DISK=ADDRESS is expected");
+    let (voter, at) = said.split_once('=').ok_or_else(fault)?;
+    let (number, disk) = voter.strip_prefix("steward-").and_then(|v| v.split_once('/')).ok_or_else(fault)?;
+    let steward = number.parse().map_err(|_| fault())?;
+    let disk = u64::from_str_radix(disk, 16).map_err(|_| fault())?;
+    at.parse::<Address>()?;
+    Ok((Voter { steward, disk }, at.to_owned()))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::disallowed_methods, reason = "seeds and times of what runs for real come from here")]
 
+#[cfg(feature = "whole")]
+mod fleet;
 #[cfg(feature = "whole")]
 mod lab;
 #[cfg(feature = "whole")]
@@ -39,9 +41,11 @@
     Serve {
         /// Starlark script of the deployment.
         deployment: PathBuf,
-        /// Where the invoker list is: tcp:HOST:PORT or unix:PATH.
-        #[arg(long)]
-        list: String,
+        /// Where the invoker list is: tcp:HOST:PORT or unix:PATH. Several are those of one fleet's stewards.
+        #[arg(long = "list", required = true)]
+        lists: Vec<String>,
+        #[command(flatten)]
+        joins: fleet::Joins,
         /// Where clients come in; once for each controller, in their order.
         #[arg(long = "clients", required = true)]
         clients: Vec<String>,
@@ -141,6 +145,13 @@
     #[command(subcommand)]
     Registry(registry::Registry),
     #[cfg(feature = "whole")]
+    /// Runs one steward of a fleet until interrupted.
+    Steward(fleet::Runs),
+    #[cfg(feature = "whole")]
+    /// Members, drains and halts of a fleet.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
+    #[cfg(feature = "whole")]
     /// Prints a controller's status.
     Status {
         #[arg(long)]
@@ -161,6 +172,8 @@
         listen: String,
         #[arg(long)]
         store: Option<String>,
+        #[command(flatten)]
+        joins: fleet::Joins,
         /// Where the registry of models is: functions beyond the deployment's are its versions.
         #[arg(long, requires = "registry_key")]
         registry: Option<String>,
@@ -220,7 +233,8 @@
         #[cfg(feature = "whole")]
         What::Serve {
             deployment,
-            list,
+            lists,
+            joins,
             clients,
             first,
             zone,
@@ -233,7 +247,7 @@
         } => {
             let make: Make = if baseline { at_random } else { by_design };
             let names = run::Names { registry, key: registry_key, copies: registry_copies, passage_s };
-            run::serve(&deployment, &list, &clients, first, zone.as_deref(), seed, &names, make)
+            run::serve(&deployment, &lists, &joins, &clients, first, zone.as_deref(), seed, &names, make)
         }
         What::Node => node::run(),
         #[cfg(feature = "whole")]
@@ -242,6 +256,7 @@
             number,
             listen,
             store,
+            joins,
             registry,
             registry_key,
             hangs,
@@ -250,7 +265,7 @@
         }) => {
             let faults = saltdrum_standin::Faults { hangs, errors, loses_answers, ..Default::default() };
             let names = run::Names { registry, key: registry_key, copies: None, passage_s: 0 };
-            run::invoker(&deployment, number, &listen, store.as_deref(), &names, faults)
+            run::invoker(&deployment, number, &listen, store.as_deref(), &joins, &names, faults)
         }
         #[cfg(feature = "whole")]
         What::Standin(Standin::Store { listen, limit }) => run::store(&listen, limit),
@@ -278,6 +293,10 @@
         #[cfg(feature = "whole")]
         What::Registry(what) => registry::run(&what),
         #[cfg(feature = "whole")]
+        What::Steward(runs) => fleet::steward(&runs),
+        #[cfg(feature = "whole")]
+        What::Fleet(what) => fleet::run(&what),
+        #[cfg(feature = "whole")]
         What::Status { to } => run::status(&to),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,6 +1,8 @@
 //! What each sub-command starts.
 
+use crate::fleet::Joins;
 use saltdrum::port::SECOND;
+use saltdrum_controller::going::Going;
 use saltdrum_controller::{Make, NamesAt, Seat};
 use saltdrum_day::check::State;
 use saltdrum_day::{DAYS, Day, check as rules, play_on_sockets, play_virtually, summary};
@@ -13,6 +15,7 @@
 use saltdrum_registry::follow::Following;
 use saltdrum_standin::invoker::Site;
 use saltdrum_standin::{Faults, Invoker, List, Record, Registry, Store, record};
+use saltdrum_steward::FleetTerms;
 use std::cell::RefCell;
 use std::fs;
 use std::future::Future;
@@ -30,10 +33,16 @@
 }
 
 fn terms(path: &Path) -> Result<Terms, String> {
-    let (terms, rest) = Terms::load(&path.to_string_lossy(), &text(path)?).map_err(|e| e.to_string())?;
+    Ok(fleet_terms(path)?.0)
+}
+
+/// The deployment, and what its script says of its fleet.
+pub fn fleet_terms(path: &Path) -> Result<(Terms, Option<FleetTerms>), String> {
+    let (terms, mut rest) = Terms::load(&path.to_string_lossy(), &text(path)?).map_err(|e| e.to_string())?;
+    let fleet = FleetTerms::take(&mut rest).map_err(|e| e.to_string())?;
     match rest.iter().find(|s| !matches!(s.what, "day" | "traffic" | "trouble")) {
         Some(s) => Err(s.fault("does not describe a deployment").to_string()),
-        None => Ok(terms),
+        None => Ok((terms, fleet)),
     }
 }
 
@@ -77,7 +86,8 @@
 #[expect(clippy::too_many_arguments, reason = "they are what the command line says")]
 pub fn serve(
     deployment: &Path,
-    list: &str,
+    lists: &[String],
+    joins: &Joins,
     clients: &[String],
     first: u32,
     zone: Option<&str>,
@@ -85,14 +95,15 @@
     names: &Names,
     make: Make,
 ) -> Done {
-    let terms = terms(deployment)?;
+    let (terms, fleet) = fleet_terms(deployment)?;
     if terms.functions.is_empty() && names.registry.is_none() {
         let place = deployment.display();
         return Err(format!(
             "{place}: no function(...) is stated, and no --registry: nothing could be invoked"
         ));
     }
-    let list: Address = list.parse()?;
+    let lists: Vec<Address> = lists.iter().map(|l| l.parse()).collect::<Result<_, String>>()?;
+    let joined = joins.checked(fleet.as_ref())?;
     let zone = match zone {
         None => 0,
         Some(name) => {
@@ -101,19 +112,24 @@
     };
     let mut threads = Vec::new();
     for (n, clients) in clients.iter().enumerate() {
-        let (clients, list, terms): (Address, _, _) = (clients.parse()?, list.clone(), terms.clone());
+        let (clients, lists, terms): (Address, _, _) = (clients.parse()?, lists.clone(), terms.clone());
+        let joined = joined.clone();
         let controller = first + n as u32;
         let names = names.at(controller)?;
         // Drawn anew at each start, so that invokers and list tell its lives apart.
-        let incarnation = fastrand::u64(1..);
+        let incarnation = fastrand::u64(1..1 << 48);
         let seed = seed.map_or_else(|| fastrand::u64(..), |s| s ^ u64::from(controller));
         threads.push(std::thread::spawn(move || {
             on_this_thread(async {
                 let (zone, terms) = (zone as u8, Rc::new(terms));
-                let seat =
-                    Seat { controller, incarnation, seed, zone, clients: vec![clients], list, terms, names };
+                let going = Going::default();
+                let part =
+                    joined.map(|j| j.controller(controller, incarnation, zone, &terms, &clients, &going));
+                let clients = vec![clients];
+                let seat = Seat { controller, incarnation, seed, zone, clients, lists, terms, names, going };
                 tokio::select! {
                     biased;
+                    ended = crate::fleet::takes_part(part) => ended,
                     done = saltdrum_controller::serve(seat, Rc::new(Sockets), Clock::start(), make) => {
                         done.map_err(|e| format!("controller {controller}: {e}"))
                     }
@@ -133,11 +149,14 @@
     number: u32,
     listen: &str,
     store: Option<&str>,
+    joins: &Joins,
     names: &Names,
     faults: Faults,
 ) -> Done {
     let versions = names.following(format!("invoker-{number}"), "")?;
-    let terms = Rc::new(terms(deployment)?);
+    let (terms, fleet) = fleet_terms(deployment)?;
+    let joined = joins.checked(fleet.as_ref())?;
+    let terms = Rc::new(terms);
     let stated = terms.invokers.iter().find(|i| i.invoker == number).cloned();
     let stated = stated.ok_or(format!("invoker {number}: the deployment states {}", terms.invokers.len()))?;
     let (at, store) = (RefCell::new(listen.parse()?), store.map(str::parse).transpose()?);
@@ -162,10 +181,22 @@
         };
         let invoker = Invoker::new(site);
         invoker.fault(|f, _| *f = faults);
-        let address = invoker.start(false, &[]).await.map_err(|e| format!("{listen}: {e}"))?;
+        if joined.is_some() {
+            // Below the sign bit: JSON readers elsewhere take no more.
+            invoker.next_life(fastrand::u64(2..1 << 48));
+        }
+        let address =
+            invoker.start(joined.is_some() && joins.cold, &[]).await.map_err(|e| format!("{listen}: {e}"))?;
         println!("invoker {number} at {address}");
-        print_until_interrupted(&record).await;
-        Ok(0)
+        let part = joined.map(|j| j.invoker(&invoker));
+        tokio::select! {
+            biased;
+            ended = crate::fleet::takes_part(part) => {
+                let _ = record::write(&record.take(), &mut std::io::stdout().lock());
+                ended.map(|()| 0)
+            }
+            () = print_until_interrupted(&record) => Ok(0),
+        }
     })?
 }
 
--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: JSON-RPC by lines. A client that hangs up, lies or reads too slowly suffers alone.
 
 use crate::front::{self, Front};
+use crate::going::Step;
 use bytes::Bytes;
 use saltdrum::port::{InvId, Tenths};
 use saltdrum_link::{Clock, Listener, Outbox, Read, Stream, halves};
@@ -139,6 +140,7 @@
             Ok(()) => "said goodbye".to_owned(),
             Err(e) => e.to_string(),
         },
+        () = led_away(&front, &client) => unreachable!("a handle outlives its clients"),
         () = client.cut.notified() => format!("more than {ANSWERS_MOST_BYTES} bytes of answers lie unread"),
     };
     let open: Vec<InvId> = client.open.borrow().iter().copied().collect();
@@ -148,6 +150,18 @@
     }
 }
 
+/// Tells the client when this controller goes. One that does not understand it may stay; it is throttled later.
+async fn led_away(front: &Rc<Front>, client: &Rc<Client>) {
+    let mut steps = front.seat.going.follow();
+    while steps.changed().await.is_ok() {
+        let step = *steps.borrow_and_update();
+        if step == Step::LeadingAway {
+            client.put(r#"{"jsonrpc":"2.0","method":"going","params":{}}"#.into(), ANY_TIME);
+        }
+    }
+    std::future::pending().await
+}
+
 /// Reads lines until the client leaves, and says why it did.
 async fn listen(front: &Rc<Front>, client: &Rc<Client>, mut read: Read<saltdrum_link::Half>) -> String {
     let mut searched = 0;
@@ -218,6 +232,14 @@
         "invoke" => {
             let params = call.params.as_ref().map_or("{}", |p| p.get());
             match serde_json::from_str::<rpc::Invoke>(params) {
+                Ok(_) if front.seat.going.step() == Step::Closed => {
+                    // Never taken, so it certainly never ran.
+                    let data = r#"{"come_back_ms":0,"dispatches":0,"going":true}"#;
+                    reply.put(
+                        |id| rpc::error(id, rpc::THROTTLED, "this controller is going", Some(data)),
+                        ANY_TIME,
+                    );
+                }
                 Ok(invoke) => front.tell(|state| front::invoke(state, invoke, least_left, earliest, reply)),
                 Err(e) => reply.refuse(rpc::INVALID_PARAMS, &e.to_string()),
             }
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -3,6 +3,7 @@
 use crate::clients::Reply;
 use crate::decides::Make;
 use crate::desk::{self, Desk, Final, Owed, Reach, Sending, Told};
+use crate::going::{Going, Look};
 use crate::links::Link;
 use crate::names::{Names, NamesAt};
 use crate::redial::Dials;
@@ -26,10 +27,12 @@
     pub zone: u8,
     /// Where clients come in.
     pub clients: Vec<Address>,
-    pub list: Address,
+    /// Lists of invokers: one at a time is followed, the next when it is lost. Several are those of one fleet.
+    pub lists: Vec<Address>,
     pub terms: Rc<Terms>,
     /// Where names that are not in the terms are looked up; none: there are no others.
     pub names: Option<NamesAt>,
+    pub going: Going,
 }
 
 pub(crate) type Front = desk::Front<Links>;
@@ -43,6 +46,7 @@
     pub dials: Dials,
     pub rng: fastrand::Rng,
     pub list_revision: Option<u64>,
+    pub listed: bool,
     pub names: Option<Names>,
 }
 
@@ -274,11 +278,22 @@
         dials: Dials::new(now),
         rng: fastrand::Rng::with_seed(seat.seed ^ 0x5eed),
         list_revision: None,
+        listed: false,
         names: seat.names.as_ref().map(Names::new),
     };
     let mut desk = Desk::new(now, reach, &deployment, order_timeout);
     let module = make(now, deployment, seat.seed, &mut desk);
     let front = Rc::new(Front::new(module, desk, clock, network, seat));
+    let seen = Rc::downgrade(&front);
+    front.seat.going.seen_by(move || {
+        seen.upgrade().map_or_else(Look::default, |front| {
+            front.see(|state| {
+                let r = &state.desk.reach;
+                let links_up = r.links.values().filter(|l| l.is_up()).count();
+                Look { in_flight: state.desk.in_flight(), links: r.links.len(), links_up, listed: r.listed }
+            })
+        })
+    });
     let mut doors = Vec::new();
     for address in &front.seat.clients {
         let listening = front.network.listen(address).await;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,6 +11,7 @@
 mod decides;
 pub mod desk;
 mod front;
+pub mod going;
 mod links;
 mod list;
 mod names;
--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -5,6 +5,7 @@
 use crate::redial::Redial;
 use bytes::BytesMut;
 use saltdrum::port::*;
+use saltdrum_link::Address;
 use saltdrum_protocol::frame::{cut, encode};
 use saltdrum_protocol::list as wire;
 use std::rc::Rc;
@@ -14,16 +15,22 @@
 
 pub(crate) async fn follow(front: Rc<Front>) {
     let (mut redial, mut rng) = (Redial::default(), fastrand::Rng::with_seed(front.seat.seed ^ 0x1157));
-    loop {
-        let why = followed(&front, &mut redial).await;
+    // Controllers begin with different ones where there are several.
+    let mut at = front.seat.controller as usize % front.seat.lists.len().max(1);
+    while let Some(list) = front.seat.lists.get(at) {
+        let why = followed(&front, list, &mut redial).await;
         redial.lost(front.clock.now());
-        warn!(address = %front.seat.list, why, "invoker list lost; what it said stands");
+        warn!(address = %list, why, "invoker list lost; what it said stands");
+        at = (at + 1) % front.seat.lists.len();
         tokio::time::sleep(Duration::from_micros(redial.wait(&mut rng) * 100)).await;
     }
 }
 
-async fn followed(front: &Rc<Front>, redial: &mut Redial) -> String {
-    let mut stream = match front.network.dial(&front.seat.list).await {
+async fn followed(front: &Rc<Front>, list: &Address, redial: &mut Redial) -> String {
+    // Behind a cut a dial hangs, and another list may be there.
+    let patience = Duration::from_secs(if front.seat.lists.len() > 1 { 1 } else { 3_600 });
+    let dialled = tokio::time::timeout(patience, front.network.dial(list)).await;
+    let mut stream = match dialled.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
         Ok(stream) => stream,
         Err(e) => return e.to_string(),
     };
@@ -45,6 +52,11 @@
         };
         let (whole, settled, entries) = match (message, revision) {
             (Ok(wire::FromList::Whole(w)), None) => {
+                // Lists of one fleet count its revisions: one that lags behind another must not turn it back.
+                let known = front.see(|state| state.desk.reach.list_revision).unwrap_or(0);
+                if front.seat.lists.len() > 1 && w.revision < known {
+                    return format!("revision {} where {known} is known: it lags behind", w.revision);
+                }
                 revision = Some(w.revision);
                 (true, w.settled, w.entries)
             }
@@ -63,6 +75,7 @@
         }
         let new = front.tell(|state| {
             state.desk.reach.list_revision = revision;
+            state.desk.reach.listed |= settled;
             told(state, whole && settled, entries)
         });
         new.into_iter().for_each(|invoker| reach(front, invoker));
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -466,9 +466,10 @@
             seed,
             zone,
             clients: vec![clients],
-            list,
+            lists: vec![list],
             terms: Rc::new(terms),
             names,
+            going: Default::default(),
         };
         let seed = self.day.seed ^ (u64::from(controller) << 40) ^ (incarnation << 56);
         let (terms, list, clock) = (self.day.terms.clone(), self.list_address.clone(), self.clock);
--- a/crates/fleet/src/next.rs
+++ b/crates/fleet/src/next.rs
@@ -70,7 +70,7 @@
 }
 
 /// One step of a dry run: who would be out together, in their order.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Batch {
     pub go: Vec<MemberId>,
     /// What keeps the next one back.
--- a/crates/fleet/src/recovery.rs
+++ b/crates/fleet/src/recovery.rs
@@ -1,5 +1,7 @@
 //! When a steward that starts may vote again. Its disk may be an old copy, or another disk than it voted from; then it has
 //! forgotten promises, and with its vote a second majority could form beside the first.
+//!
+//! What counts is heard after the start, and so after all that it may have forgotten.
 
 use crate::register::{Acceptor, Ballot, Config, Value, Voter};
 use serde::{Deserialize, Serialize};
@@ -24,8 +26,6 @@
     /// Others heard of more writes than are on the disk: it is an old copy. It waits until all quorums that it may have
     /// been part of are known from others.
     OldDisk { mine: u64, heard: u64 },
-    /// A disk on which nothing was ever written, of a voter whose fleet is there already: it has lost its disk.
-    Lost,
 }
 
 #[derive(Clone, Debug)]
@@ -62,40 +62,28 @@
         let sure: BTreeSet<Voter> =
             self.heard.iter().filter(|(_, h)| !h.returning).map(|(v, _)| *v).collect();
         let everybody = config.voters().iter().all(|v| *v == self.me || all.contains(v));
-        let blank = self.mine.writes == 0;
-        let founded = self.heard.values().any(|h| h.acceptor.writes > 0);
         if !config.holds(self.me) {
             // As far as those know who answered, its vote counts nowhere; a majority of them would know better.
             return if config.is_quorum(&all) { Verdict::Vote } else { Verdict::Wait };
         }
-        if config.all_quorums_meet(self.me, &sure) && !(blank && self.is_founder()) {
-            return Verdict::Vote;
-        }
-        if blank && self.is_founder() {
-            // Nothing tells a first start from a start on an empty disk but that nobody else has anything.
-            return match (founded, everybody) {
-                (true, _) => Verdict::Lost,
-                (false, true) => Verdict::Vote,
-                (false, false) => Verdict::Wait,
-            };
-        }
-        if everybody {
-            // All are here, and none votes: what a majority held is among what they have.
+        // With all that could have counted its votes heard since it started, it needs no disk of its own. With everybody
+        // here and nobody sure, what a majority held is among what they all have.
+        if config.all_quorums_meet(self.me, &sure) || everybody {
             return Verdict::Vote;
         }
         if known > self.mine.writes {
             return Verdict::OldDisk { mine: self.mine.writes, heard: known };
         }
+        if self.mine.writes == 0 {
+            // Nothing tells a first start from one on an empty disk.
+            return Verdict::Wait;
+        }
         // Its disk is as others knew it. With it they have to be able to decide, or its vote would be of no use.
         let mut with_me = all;
         with_me.insert(self.me);
         if config.is_quorum(&with_me) { Verdict::Vote } else { Verdict::Wait }
     }
 
-    fn is_founder(&self) -> bool {
-        self.founding.holds(self.me)
-    }
-
     /// What it holds from now on: no promise below anybody's, and the latest value that anybody has.
     pub fn adopt(self) -> Acceptor<V> {
         let mut mine = self.mine;
--- a/crates/rogue/src/lib.rs
+++ b/crates/rogue/src/lib.rs
@@ -86,7 +86,7 @@
 
     async fn follow(self: Rc<Self>) {
         let (controller, incarnation) = (self.seat.controller, self.seat.incarnation);
-        let mut stream = self.network.dial(&self.seat.list).await.unwrap();
+        let mut stream = self.network.dial(&self.seat.lists[0]).await.unwrap();
         stream.write_all(&encode(&list::Follow { version: 1, controller, incarnation })).await.unwrap();
         let mut read = BytesMut::new();
         loop {
--- a/crates/standin/src/invoker.rs
+++ b/crates/standin/src/invoker.rs
@@ -332,6 +332,16 @@
         })
     }
 
+    /// Its next life is this one. Lives of separate processes are told apart by a number drawn at each start.
+    pub fn next_life(&self, incarnation: u64) {
+        self.life.borrow_mut().incarnation = incarnation - 1;
+    }
+
+    /// Work in hand: dispatches that are not answered yet.
+    pub fn in_hand(&self) -> usize {
+        self.life.borrow().jobs.len()
+    }
+
     /// Starts the process: cold and empty, or as if it had long been up and held what it is given.
     pub async fn start(self: &Rc<Self>, cold: bool, holds: &[FnId]) -> std::io::Result<Address> {
         let at = self.site.at.borrow().clone();
--- a/crates/steward/src/care.rs
+++ b/crates/steward/src/care.rs
@@ -317,12 +317,6 @@
             }
             match verdict {
                 Verdict::Vote => return Ok(()),
-                Verdict::Lost => {
-                    return Err(format!(
-                        "{me} has an empty disk, and the fleet is there: it lost its disk. Start it without --found \
-                         and change the stewards"
-                    ));
-                }
                 Verdict::OldDisk { mine, heard } if !told => {
                     told = true;
                     warn!(
--- a/crates/steward/src/member.rs
+++ b/crates/steward/src/member.rs
@@ -146,7 +146,9 @@
             match (standing.incarnation, standing.phase) {
                 (Some(known), Some(phase)) if known == incarnation => match phase {
                     Phase::Starting { .. } if part.is_proven() => {
-                        self.change(Change::Proven { member, incarnation }).await;
+                        if let Some(Ok(_)) = self.change(Change::Proven { member, incarnation }).await {
+                            part.told("up", 0);
+                        }
                     }
                     Phase::Granted { grant } => {
                         match self.change(Change::Begin { member, incarnation, grant }).await {
--- a/crates/steward/src/service.rs
+++ b/crates/steward/src/service.rs
@@ -119,10 +119,12 @@
 
     /// Stewards and where they listen, as far as this one knows.
     pub(crate) fn stewards(&self) -> BTreeMap<u32, String> {
-        let mut all = self.seat.founding.stewards.clone();
+        let mut all = BTreeMap::new();
         if let Some((_, fleet)) = self.booth.borrow().accepted() {
             all.extend(fleet.stewards.clone());
         }
+        // What it was started with goes first: how this process reaches them.
+        all.extend(self.seat.founding.stewards.clone());
         all
     }
 
