--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -42,6 +42,9 @@
     /// Where a steward is; once for each. Without it the process takes part in no fleet.
     #[arg(long = "steward")]
     stewards: Vec<String>,
+    /// Where the others reach it, if not where it listens.
+    #[arg(long, requires = "stewards")]
+    reached_at: Option<String>,
     /// The invoker starts cold and empty.
     #[arg(long, requires = "stewards")]
     pub cold: bool,
@@ -50,6 +53,7 @@
 #[derive(Clone)]
 pub struct Joined {
     stewards: Vec<Address>,
+    reached_at: Option<Address>,
     terms: FleetTerms,
 }
 
@@ -60,7 +64,8 @@
         }
         let terms = terms.ok_or("--steward: the script states no fleet(...)")?.clone();
         let stewards = self.stewards.iter().map(|s| s.parse()).collect::<Result<_, String>>()?;
-        Ok(Some(Joined { stewards, terms }))
+        let reached_at = self.reached_at.as_ref().map(|a| a.parse()).transpose()?;
+        Ok(Some(Joined { stewards, reached_at, terms }))
     }
 }
 
@@ -125,7 +130,7 @@
             size: f64::from(entry.size),
             memory_mb: site.terms.kinds[site.stated.kind].memory.0,
             version: env!("CARGO_PKG_VERSION").into(),
-            address: entry.address,
+            address: self.reached_at.as_ref().map_or(entry.address, ToString::to_string),
             machine: entry.kind,
             zone: entry.zone,
         };
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -15,6 +15,8 @@
 mod registry;
 #[cfg(feature = "whole")]
 mod run;
+#[cfg(feature = "whole")]
+mod trial;
 
 use clap::{Parser, Subcommand};
 #[cfg(feature = "whole")]
@@ -152,6 +154,9 @@
     #[command(subcommand)]
     Fleet(fleet::Fleet),
     #[cfg(feature = "whole")]
+    /// Plays a trial of a fleet on processes of this program, with faults between them, and judges it.
+    Trial(trial::Plays),
+    #[cfg(feature = "whole")]
     /// Prints a controller's status.
     Status {
         #[arg(long)]
@@ -297,6 +302,8 @@
         #[cfg(feature = "whole")]
         What::Fleet(what) => fleet::run(&what),
         #[cfg(feature = "whole")]
+        What::Trial(plays) => trial::run(&plays),
+        #[cfg(feature = "whole")]
         What::Status { to } => run::status(&to),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -40,7 +40,7 @@
 pub fn fleet_terms(path: &Path) -> Result<(Terms, Option<FleetTerms>), String> {
     let (terms, mut rest) = Terms::load(&path.to_string_lossy(), &text(path)?).map_err(|e| e.to_string())?;
     let fleet = FleetTerms::take(&mut rest).map_err(|e| e.to_string())?;
-    match rest.iter().find(|s| !matches!(s.what, "day" | "traffic" | "trouble")) {
+    match rest.iter().find(|s| !matches!(s.what, "day" | "traffic" | "trouble" | "trial" | "step")) {
         Some(s) => Err(s.fault("does not describe a deployment").to_string()),
         None => Ok((terms, fleet)),
     }
--- a/crates/deployment/src/script.rs
+++ b/crates/deployment/src/script.rs
@@ -119,7 +119,9 @@
     experiment,
     variant,
     fleet,
-    bound
+    bound,
+    trial,
+    step
 );
 
 /// Runs a script's text; `file` is its name in faults.
--- /dev/null
+++ b/crates/trial/src/judge.rs
@@ -0,0 +1,186 @@
+//! Judges a trial by its record alone.
+
+use crate::record::{How, Line};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Verdict {
+    pub rule: &'static str,
+    pub broken: Vec<String>,
+}
+
+pub const RULES: [&str; 6] = [
+    "planned out never above the bound",
+    "no drain begins while true out is at the bound",
+    "no drain begins after an acknowledged halt",
+    "each grant is begun once, by one life",
+    "stewards tell one history",
+    "no invocation is lost to a planned drain",
+];
+
+/// Who is out, as far as processes showed it.
+#[derive(Default)]
+struct Out {
+    /// Began to drain and not yet up again.
+    planned: BTreeSet<String>,
+    /// Dead without having drained, and since when; not yet up again.
+    dead: BTreeMap<String, u64>,
+}
+
+fn at(line: &Line) -> u64 {
+    match line {
+        Line::Bound { .. } | Line::History { .. } => 0,
+        Line::Told { at_ns, .. }
+        | Line::Started { at_ns, .. }
+        | Line::Ended { at_ns, .. }
+        | Line::Stopped { at_ns, .. }
+        | Line::Asked { at_ns, .. }
+        | Line::Invoked { at_ns, .. }
+        | Line::Disturbed { at_ns, .. }
+        | Line::Failed { at_ns, .. } => *at_ns,
+    }
+}
+
+/// Each rule, with what breaks it.
+pub fn judge(lines: &[Line]) -> Vec<Verdict> {
+    let mut broken: [Vec<String>; 6] = Default::default();
+    let mut sorted: Vec<&Line> = lines.iter().collect();
+    sorted.sort_by_key(|l| at(l));
+    let (mut out, mut begun) = (Out::default(), BTreeMap::<u64, (String, u64)>::new());
+    let mut halted: Option<u64> = None;
+    let mut history = BTreeMap::<u64, &str>::new();
+    let mut faults = false;
+    for line in &sorted {
+        match line {
+            Line::Told { at_ns, member, incarnation, what, grant } => match what.as_str() {
+                "began" => {
+                    if let Some(since) = halted.filter(|since| at_ns > since) {
+                        let late = (at_ns - since) / 1_000_000;
+                        broken[2].push(format!("{member} began {late} ms after the halt was acknowledged"));
+                    }
+                    let mine = (member.clone(), *incarnation);
+                    if let Some(other) = begun.insert(*grant, mine.clone()) {
+                        broken[3].push(format!("grant {grant}: begun by {} and by {member}", other.0));
+                    }
+                    out.planned.insert(member.clone());
+                    for b in lines {
+                        let Line::Bound { kind, out: most, members, detect_ns } = b else { continue };
+                        if !member.starts_with(kind.as_str()) {
+                            continue;
+                        }
+                        let of = |m: &&String| m.starts_with(kind.as_str());
+                        let planned = out.planned.iter().filter(of).count();
+                        if planned > *most {
+                            broken[0].push(format!(
+                                "{member} began with {planned} of {members} {kind}s out by plan: {most} is the bound"
+                            ));
+                        }
+                        let known = |(m, since): &(&String, &u64)| {
+                            m.starts_with(kind.as_str())
+                                && !out.planned.contains(*m)
+                                && at_ns.saturating_sub(**since) > *detect_ns
+                        };
+                        let dead = out.dead.iter().filter(known).count();
+                        if planned + dead > *most {
+                            broken[1].push(format!(
+                                "{member} began with {planned} {kind}s out by plan and {dead} long dead: {most} is the bound"
+                            ));
+                        }
+                    }
+                }
+                "up" | "turned-back" => {
+                    if what == "up" {
+                        out.planned.remove(member);
+                        out.dead.remove(member);
+                    }
+                }
+                _ => {}
+            },
+            Line::Ended { at_ns, process, code, killed } => {
+                faults |= *killed || *code != Some(0);
+                if !out.planned.contains(process) {
+                    out.dead.insert(process.clone(), *at_ns);
+                }
+            }
+            Line::Asked { at_ns, what, done: true, .. } if what == "halt" => {
+                halted = halted.or(Some(*at_ns));
+            }
+            Line::History { steward, revision, what } => {
+                if let Some(other) = history.insert(*revision, what).filter(|o| o != what) {
+                    broken[4]
+                        .push(format!("revision {revision}: '{other}', and '{what}' by steward {steward}"));
+                }
+            }
+            Line::Stopped { still: true, .. } => faults = true,
+            _ => {}
+        }
+        // From the moment at which a resume was sent, drains may begin again.
+        if let Line::Asked { what, .. } = line
+            && what == "resume"
+        {
+            halted = None;
+        }
+    }
+    if !faults {
+        let lost = lines.iter().filter(|l| matches!(l, Line::Invoked { how: How::Lost, .. })).count();
+        if lost > 0 {
+            broken[5].push(format!("{lost} invocations had no answer, and nothing else was wrong"));
+        }
+    }
+    RULES.into_iter().zip(broken).map(|(rule, broken)| Verdict { rule, broken }).collect()
+}
+
+/// Whether the machine stood still for so long that what was seen decides nothing.
+pub fn cannot_tell(lines: &[Line]) -> bool {
+    lines.iter().any(|l| matches!(l, Line::Disturbed { at_ns, until_ns } if until_ns - at_ns > 500_000_000))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: u64 = 1_000_000;
+
+    fn told(at: u64, member: &str, what: &str, grant: u64) -> Line {
+        let (member, what) = (member.to_owned(), what.to_owned());
+        Line::Told { at_ns: at * MS, member, incarnation: 7, what, grant }
+    }
+
+    fn asked(at: u64, what: &str) -> Line {
+        let (sent_ns, at_ns) = ((at - 1) * MS, at * MS);
+        Line::Asked { sent_ns, at_ns, what: what.into(), done: true, answer: String::new() }
+    }
+
+    fn found(lines: &[Line]) -> Vec<usize> {
+        let bound = Line::Bound { kind: "invoker".into(), out: 1, members: 4, detect_ns: 1_000 * MS };
+        let all: Vec<Line> = [bound].into_iter().chain(lines.iter().cloned()).collect();
+        let verdicts = judge(&all);
+        (0..RULES.len()).filter(|n| !verdicts[*n].broken.is_empty()).collect()
+    }
+
+    /// A good trial, and for each rule a record in which it is broken.
+    #[test]
+    fn each_rule_is_seen_to_be_broken() {
+        let one = [told(10, "invoker-1", "began", 1), told(20, "invoker-1", "up", 0)];
+        assert_eq!(found(&one), [0usize; 0]);
+        let next = told(30, "invoker-2", "began", 2);
+        assert_eq!(found(&[&one[..], &[next.clone()]].concat()), [0usize; 0]);
+        assert_eq!(found(&[one[0].clone(), next.clone()]), [0, 1]);
+        let other = told(30, "controller-2", "began", 2);
+        assert_eq!(found(&[one[0].clone(), other]), [0usize; 0], "another kind has its own bound");
+        let dead = Line::Ended { at_ns: 5 * MS, process: "invoker-3".into(), code: None, killed: true };
+        assert_eq!(found(&[dead.clone(), next.clone()]), [0usize; 0], "nobody can know it so soon");
+        assert_eq!(found(&[dead, told(1_100, "invoker-2", "began", 2)]), [1]);
+        assert_eq!(found(&[asked(15, "halt"), next.clone()]), [2]);
+        assert_eq!(found(&[asked(15, "halt"), asked(25, "resume"), next]), [0usize; 0]);
+        assert_eq!(found(&[&one[..], &[told(30, "invoker-1", "began", 1)]].concat()), [3]);
+        let history = |steward, what: &str| Line::History { steward, revision: 4, what: what.into() };
+        assert_eq!(found(&[history(1, "a"), history(2, "a")]), [0usize; 0]);
+        assert_eq!(found(&[history(1, "a"), history(2, "b")]), [4]);
+        let lost = Line::Invoked { sent_ns: 0, at_ns: 1, controller: 1, how: How::Lost };
+        assert_eq!(found(std::slice::from_ref(&lost)), [5]);
+        let kill = Line::Ended { at_ns: 5, process: "controller-1".into(), code: None, killed: true };
+        assert_eq!(found(&[lost, kill]), [0usize; 0], "who was killed may lose what it took");
+    }
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,30 @@
+//! Trials of a fleet on real processes: each steward, controller, invoker and store is a process of the shipped binary, each
+//! stream between two of them goes through a wire of the trial's own, and a script says what happens to them.
+//!
+//! `script` reads a trial, `wires` carries streams and cuts them, `stage` starts, signals and ends processes and plays the
+//! steps, `load` invokes meanwhile, `record` is what was seen, `judge` decides by that alone: it knows nothing of stewards,
+//! members or the script, but the bounds and spans that the record states.
+//!
+//! Steps wait for what is seen, never for a span to be long enough. Every process ends with the trial.
+
+pub mod judge;
+mod load;
+pub mod record;
+pub mod script;
+mod stage;
+pub mod wires;
+
+pub use script::Trial;
+pub use stage::play;
+
+/// Trials that come with the program, by name.
+pub const TRIALS: &[(&str, &str)] = &[
+    ("one-drain", include_str!("../trials/one-drain.star")),
+    ("halted-in-hand", include_str!("../trials/halted-in-hand.star")),
+    ("stewards-killed", include_str!("../trials/stewards-killed.star")),
+    ("majority-lost", include_str!("../trials/majority-lost.star")),
+    ("crossed-wires", include_str!("../trials/crossed-wires.star")),
+    ("room-used-up", include_str!("../trials/room-used-up.star")),
+    ("old-disk", include_str!("../trials/old-disk.star")),
+    ("granted-and-killed", include_str!("../trials/granted-and-killed.star")),
+];
--- /dev/null
+++ b/crates/trial/src/script.rs
@@ -0,0 +1,230 @@
+//! A trial as its script states it: a deployment with a fleet, `trial(...)` once, and `step(...)` after `step(...)`.
+
+use saltdrum_deployment::units::Span;
+use saltdrum_deployment::{Fault, Statement, Terms, script};
+use saltdrum_steward::FleetTerms;
+use serde::Deserialize;
+
+#[derive(Clone, Debug)]
+pub struct Trial {
+    pub name: String,
+    /// The script's own text, which the processes are given.
+    pub text: String,
+    pub terms: Terms,
+    pub fleet: FleetTerms,
+    pub stewards: u32,
+    pub controllers: u32,
+    pub seed: u64,
+    /// Invocations a second over all controllers; 0: none.
+    pub per_second: f64,
+    /// Drained members are started again after this.
+    pub returns_ms: u64,
+    /// A loss is to be known after this.
+    pub detect_ms: u64,
+    /// A step that waits gives up after this, and the trial has failed.
+    pub patience_ms: u64,
+    pub steps: Vec<Step>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Do {
+    /// Waits until `of` told `event`, counted from the trial's begin, `times` times in all.
+    Await {
+        event: String,
+        times: usize,
+    },
+    /// Waits until every member that should be is up.
+    AllUp,
+    /// Waits until an ask is over.
+    Over {
+        id: String,
+    },
+    Ask {
+        id: String,
+    },
+    Halt,
+    Resume,
+    Back,
+    Kill,
+    Stop,
+    Wake,
+    Start,
+    /// Keeps a copy of a steward's disk, or puts the copy in its place.
+    CopyDisk,
+    OldDisk,
+    LoseDisk,
+    Cut {
+        to: Vec<String>,
+        one_way: bool,
+    },
+    Heal,
+    Delay {
+        ms: u64,
+        jitter_ms: u64,
+    },
+    Reset,
+    Pause {
+        ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub what: Do,
+    pub of: Vec<String>,
+    pub place: script::Place,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidTrial {
+    name: String,
+    #[serde(default = "three")]
+    stewards: u32,
+    #[serde(default = "two")]
+    controllers: u32,
+    #[serde(default)]
+    seed: u64,
+    #[serde(default)]
+    per_second: f64,
+    #[serde(default = "soon")]
+    returns: Span,
+    #[serde(default = "second")]
+    detect: Span,
+    #[serde(default = "patience")]
+    patience: Span,
+}
+
+fn two() -> u32 {
+    2
+}
+fn three() -> u32 {
+    3
+}
+fn soon() -> Span {
+    Span(1_000)
+}
+fn second() -> Span {
+    Span(50_000)
+}
+fn patience() -> Span {
+    Span(300_000)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SaidStep {
+    name: String,
+    #[serde(default)]
+    of: Vec<String>,
+    #[serde(default)]
+    to: Vec<String>,
+    #[serde(default)]
+    one_way: bool,
+    event: Option<String>,
+    times: Option<usize>,
+    id: Option<String>,
+    #[serde(default)]
+    delay: Span,
+    #[serde(default)]
+    jitter: Span,
+    #[serde(default)]
+    span: Span,
+}
+
+impl Trial {
+    pub fn load(file: &str, text: &str) -> Result<Self, Fault> {
+        let (terms, mut rest) = Terms::load(file, text)?;
+        let at = |why: &str| Fault { place: script::Place { file: file.into(), line: 1 }, why: why.into() };
+        let fleet = FleetTerms::take(&mut rest)?.ok_or_else(|| at("no fleet(...) is stated"))?;
+        let mut trials = rest.iter().filter(|s| s.what == "trial");
+        let stated = trials.next().ok_or_else(|| at("no trial(...) is stated"))?;
+        if let Some(second) = trials.next() {
+            return Err(second.fault("stated a second time"));
+        }
+        let said: SaidTrial = stated.read()?;
+        if said.stewards % 2 == 0 || said.stewards > 9 {
+            return Err(stated.fault("stewards: an odd number up to 9 is expected"));
+        }
+        if said.controllers != terms.deployment.controllers {
+            return Err(stated.fault(format!(
+                "controllers = {}: the deployment states {}",
+                said.controllers, terms.deployment.controllers
+            )));
+        }
+        let mut trial = Self {
+            name: said.name,
+            text: text.to_owned(),
+            terms,
+            fleet,
+            stewards: said.stewards,
+            controllers: said.controllers,
+            seed: said.seed,
+            per_second: said.per_second,
+            returns_ms: said.returns.0 / 10,
+            detect_ms: said.detect.0 / 10,
+            patience_ms: said.patience.0 / 10,
+            steps: Vec::new(),
+        };
+        for s in rest.iter().filter(|s| s.what == "step") {
+            let step = trial.step(s)?;
+            trial.steps.push(step);
+        }
+        match rest.iter().find(|s| !matches!(s.what, "trial" | "step")) {
+            Some(s) => Err(s.fault("does not belong to a trial")),
+            None => Ok(trial),
+        }
+    }
+
+    pub fn processes(&self) -> Vec<String> {
+        let stewards = (1..=self.stewards).map(|n| format!("steward-{n}"));
+        let controllers = (1..=self.controllers).map(|n| format!("controller-{n}"));
+        let invokers = self.terms.invokers.iter().map(|i| format!("invoker-{}", i.invoker));
+        stewards.chain(controllers).chain(invokers).collect()
+    }
+
+    fn step(&self, s: &Statement) -> Result<Step, Fault> {
+        let said: SaidStep = s.read()?;
+        let known = self.processes();
+        if let Some(odd) = said.of.iter().chain(&said.to).find(|p| !known.contains(p)) {
+            return Err(s.fault(format!("no process is named '{odd}' here")));
+        }
+        let id = || said.id.clone().ok_or_else(|| s.fault("id is missing"));
+        let what = match said.name.as_str() {
+            "await" => {
+                let events = ["began", "drained", "up", "granted"];
+                let event = said.event.clone().filter(|e| events.contains(&e.as_str()));
+                let event = event
+                    .ok_or_else(|| s.fault(format!("event: one of {} is expected", events.join(", "))))?;
+                Do::Await { event, times: said.times.unwrap_or(1) }
+            }
+            "all_up" => Do::AllUp,
+            "over" => Do::Over { id: id()? },
+            "ask" => Do::Ask { id: id()? },
+            "halt" => Do::Halt,
+            "resume" => Do::Resume,
+            "back" => Do::Back,
+            "kill" => Do::Kill,
+            "stop" => Do::Stop,
+            "wake" => Do::Wake,
+            "start" => Do::Start,
+            "copy_disk" => Do::CopyDisk,
+            "old_disk" => Do::OldDisk,
+            "lose_disk" => Do::LoseDisk,
+            "cut" => Do::Cut { to: said.to.clone(), one_way: said.one_way },
+            "heal" => Do::Heal,
+            "delay" => Do::Delay { ms: said.delay.0 / 10, jitter_ms: said.jitter.0 / 10 },
+            "reset" => Do::Reset,
+            "pause" => Do::Pause { ms: said.span.0 / 10 },
+            other => return Err(s.fault(format!("'{other}' is no step"))),
+        };
+        let needs = !matches!(
+            what,
+            Do::AllUp | Do::Over { .. } | Do::Halt | Do::Resume | Do::Heal | Do::Pause { .. } | Do::Reset
+        );
+        if needs && said.of.is_empty() {
+            return Err(s.fault("of: processes are expected"));
+        }
+        Ok(Step { what, of: said.of, place: s.place.clone() })
+    }
+}
--- /dev/null
+++ b/crates/trial/trials/one-drain.star
@@ -0,0 +1,16 @@
+# The smallest whole path, under load: everybody is drained and returned, and nobody's answer is lost.
+deployment(controllers = 2, keep_alive = "9s", cold_share = 0.3, cold_time = "300ms", tip_factor = 2.5, tip_window = "1s",
+    zones = ["kigali", "huye"])
+machine("big", memory = "20GB", cores = 16)
+invokers(kind = "big", count = 2, zone = "kigali")
+invokers(kind = "big", count = 2, zone = "huye")
+trigger_type("narrate", objective = "2s", client_timeout = "4s")
+tenant("hill-museum", quota_per_s = 900)
+function("voice", trigger = "narrate", memory = "2GB", lanes = 16, load_time = "50ms")
+fleet("museums", renew = "100ms", suspect_level = 8.0)
+bound(kind = "invoker", out = 1)
+bound(kind = "controller", out = 1)
+trial("one-drain", per_second = 60)
+step("ask", id = "all", of = ["invoker-1", "invoker-2", "invoker-3", "invoker-4", "controller-1", "controller-2"])
+step("over", id = "all")
+step("all_up")
