A round no longer waits for ever for a value that its proposer had let go

What is named is kept for the round now, and a promise that names a value and lacks it counts as none.

--- a/crates/steward/src/propose.rs
+++ b/crates/steward/src/propose.rs
@@ -108,18 +108,20 @@
         self: &Rc<Self>,
         changes: &[&Change],
     ) -> Result<(Rc<Fleet>, Vec<Result<Done, saltdrum_fleet::Refusal>>), Lost> {
-        let (me, config) = {
+        // What it says it has is kept for the whole round: its own acceptor may have another value by the time of an answer.
+        let (me, config, mine) = {
             let booth = self.booth.borrow();
             self.highest.set(self.highest.get().max(booth.promised()));
-            (booth.me(), booth.config(&self.seat.founding.config))
+            let mine = booth.accepted().map(|(b, fleet)| (b, fleet.clone()));
+            (booth.me(), booth.config(&self.seat.founding.config), mine)
         };
+        let have = mine.as_ref().map_or(Ballot::default(), |m| m.0);
         let ballot = Ballot::above(self.highest.get(), me.steward, self.seat.life);
         self.highest.set(ballot);
         let mut round: Round<Fleet> = Round::new(ballot, config);
         let (to, mut votes) = mpsc::unbounded_channel();
         let mut asked = BTreeSet::new();
         self.ask_all(&mut asked, round.asks(), |voter, this| {
-            let have = this.booth.borrow().accepted().map_or(Ballot::default(), |a| a.0);
             this.ask_promise(Prepare { to: voter, ballot, have }, to.clone());
         });
         let (mut silent, mut overtaken) = (BTreeSet::new(), None);
@@ -128,23 +130,16 @@
             let Some((from, vote)) = votes.recv().await else { return Err(Lost::Unanswered) };
             match vote {
                 Ok(Vote::Promised { accepted, value, .. }) => {
-                    let value = value.or_else(|| {
-                        let booth = self.booth.borrow();
-                        let mine = booth.accepted().filter(|(b, _)| Some(*b) == accepted);
-                        mine.map(|(_, v)| Box::new(v.clone()))
-                    });
-                    let accepted = match (accepted, value) {
-                        (Some(ballot), Some(value)) => Some(Accepted { ballot, value: *value }),
-                        (None, _) => None,
-                        // It said that we have it, and we have another by now.
-                        (Some(_), None) => {
-                            silent.insert(from);
-                            continue;
-                        }
-                    };
-                    round.promised(from, accepted);
+                    let known = || mine.as_ref().filter(|m| Some(m.0) == accepted).map(|m| m.1.clone());
+                    let value = value.map(|v| *v).or_else(known);
+                    if accepted.is_some() != value.is_some() {
+                        // A value that is named and not told would read as none, and be overwritten.
+                        silent.insert(from);
+                    } else {
+                        let accepted = accepted.zip(value).map(|(ballot, value)| Accepted { ballot, value });
+                        round.promised(from, accepted);
+                    }
                     self.ask_all(&mut asked, round.asks(), |voter, this| {
-                        let have = this.booth.borrow().accepted().map_or(Ballot::default(), |a| a.0);
                         this.ask_promise(Prepare { to: voter, ballot, have }, to.clone());
                     });
                 }
--- /dev/null
+++ b/crates/steward/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Stewards and members in virtual time, on disks that lose what was not synced.
+
+#[path = "../../../registry/tests/all/support/disk.rs"]
+#[expect(dead_code, reason = "made for the registry, which bends its disks in more ways")]
+mod disk;
+mod many_days;
+mod world;
--- /dev/null
+++ b/crates/steward/tests/all/world.rs
@@ -0,0 +1,302 @@
+//! A fleet on an emulated network: everything in one thread, in virtual time, by one seed.
+
+use crate::disk::Disk as Platter;
+use saltdrum::port::{MILLI, SECOND, Tenths};
+use saltdrum_ether::{Ether, Hold, Line as Wire, Lines, stoppable};
+use saltdrum_fleet::bounds::{Bound, Per};
+use saltdrum_fleet::change::Change;
+use saltdrum_fleet::fleet::{About, Fleet, Kind, MemberId};
+use saltdrum_fleet::next::Seen;
+use saltdrum_fleet::register::{Config, Voter};
+use saltdrum_link::{Address, Clock, Turns};
+use saltdrum_steward::caller::Caller;
+use saltdrum_steward::disk::{Disk, Identity, SCHEMA};
+use saltdrum_steward::member::Ended;
+use saltdrum_steward::wire::{Changed, Changes};
+use saltdrum_steward::{FleetTerms, Part, Seat, TakesPart, service, take_part};
+use saltdrum_trial::record::Line;
+use serde_json::{Value as Json, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+pub const STEWARDS: u32 = 3;
+pub const INVOKERS: u32 = 6;
+pub const BOUND: u32 = 2;
+
+struct Life {
+    task: JoinHandle<()>,
+    hold: Hold,
+}
+
+pub struct World {
+    pub clock: Clock,
+    ether: Ether,
+    pub rng: RefCell<fastrand::Rng>,
+    disks: RefCell<BTreeMap<u32, Platter>>,
+    lives: RefCell<BTreeMap<String, Life>>,
+    pub lines: Rc<RefCell<Vec<Line>>>,
+    lifetimes: Cell<u64>,
+    callers: Vec<Caller>,
+    pub over: Cell<bool>,
+}
+
+fn terms() -> FleetTerms {
+    let bound = Bound {
+        kind: Some(Kind::Invoker),
+        site: None,
+        per: Per::Fleet,
+        out: Some(BOUND),
+        share: None,
+        least_size: None,
+        least_memory_mb: None,
+    };
+    FleetTerms {
+        name: "museums".into(),
+        renew: 100 * MILLI,
+        suspect_level: 8.0,
+        grant_for: 2 * SECOND,
+        drain_for: 60 * SECOND,
+        prove_within: 0,
+        halt_at_lost: 0,
+        bounds: vec![bound],
+    }
+}
+
+fn at(name: &str) -> Address {
+    Address::Memory(name.into())
+}
+
+fn ns(at: Tenths) -> u64 {
+    at * 100_000
+}
+
+struct Stub {
+    lines: Rc<RefCell<Vec<Line>>>,
+    clock: Clock,
+    member: String,
+    incarnation: u64,
+    since: Tenths,
+    drains: Cell<Option<Tenths>>,
+}
+
+impl Part for Stub {
+    fn is_proven(&self) -> bool {
+        self.clock.now() > self.since + 200 * MILLI
+    }
+
+    fn seen(&self) -> Seen {
+        Seen::default()
+    }
+
+    fn drain(&self) {
+        self.drains.set(Some(self.clock.now()));
+    }
+
+    fn is_drained(&self) -> bool {
+        self.drains.get().is_some_and(|at| self.clock.now() > at + 300 * MILLI)
+    }
+
+    fn turn_back(&self) -> bool {
+        self.drains.set(None);
+        true
+    }
+
+    fn told(&self, what: &'static str, grant: u64) {
+        self.lines.borrow_mut().push(Line::Told {
+            at_ns: ns(self.clock.now()),
+            member: self.member.clone(),
+            incarnation: self.incarnation,
+            what: what.to_owned(),
+            grant,
+        });
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Rc<Self> {
+        let clock = Clock::start();
+        let usual = Wire { delay: MILLI, jitter: 2 * MILLI };
+        let ether = Ether::new(clock, Lines::new(usual, 0.0, seed), Turns::default());
+        let operator = ether.host("operator");
+        let callers =
+            (1..=STEWARDS).map(|n| Caller::new(operator.clone(), at(&format!("steward-{n}")), "museums"));
+        let detect_ns = 8_000_000_000;
+        let bound = Line::Bound {
+            kind: "invoker".into(),
+            out: BOUND as usize,
+            members: INVOKERS as usize,
+            detect_ns,
+        };
+        Rc::new(Self {
+            clock,
+            callers: callers.collect(),
+            ether,
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            disks: RefCell::default(),
+            lives: RefCell::default(),
+            lines: Rc::new(RefCell::new(vec![bound])),
+            lifetimes: Cell::new(0),
+            over: Cell::new(false),
+        })
+    }
+
+    fn next_life(&self) -> u64 {
+        self.lifetimes.set(self.lifetimes.get() + 1);
+        self.lifetimes.get()
+    }
+
+    pub fn is_running(&self, name: &str) -> bool {
+        self.lives.borrow().get(name).is_some_and(|l| !l.task.is_finished())
+    }
+
+    pub fn steward(self: &Rc<Self>, number: u32) {
+        let name = format!("steward-{number}");
+        let stewards: BTreeMap<u32, String> =
+            (1..=STEWARDS).map(|n| (n, at(&format!("steward-{n}")).to_string())).collect();
+        let founders = (1..=STEWARDS).map(|steward| Voter { steward, disk: 0 }).collect();
+        let config = Config::founding(founders).unwrap();
+        let founding = Fleet::founded("museums", config, stewards, terms().bounds, 0);
+        let seat = Seat {
+            number,
+            life: self.next_life(),
+            seed: self.rng.borrow_mut().u64(..),
+            terms: terms(),
+            founding,
+            listen: at(&name),
+            list: None,
+        };
+        let platter = self.disks.borrow_mut().entry(number).or_default().clone();
+        let new =
+            Identity { schema: SCHEMA, fleet: "museums".into(), voter: Voter { steward: number, disk: 0 } };
+        let (disk, acceptor) = Disk::open(name.clone(), platter.opens(), new).unwrap();
+        let (network, clock, hold) = (self.ether.host(&name), self.clock, Hold::default());
+        let lasting = stoppable(hold.clone(), async move {
+            if let Err(why) = service::serve(seat, disk, acceptor, network, clock).await {
+                panic!("a steward ended: {why}");
+            }
+        });
+        let task = tokio::task::spawn_local(lasting);
+        self.lives.borrow_mut().insert(name, Life { task, hold });
+    }
+
+    pub fn member(self: &Rc<Self>, id: MemberId) {
+        let (name, incarnation) = (id.to_string(), self.next_life());
+        let about = About {
+            incarnation,
+            site: if id.number % 2 == 0 { "huye" } else { "kigali" }.into(),
+            cell: (id.number / 2) as u16,
+            size: 1.0,
+            memory_mb: 1_000.0,
+            version: "1".into(),
+            address: at(&name).to_string(),
+            machine: 0,
+            zone: 0,
+        };
+        let with = TakesPart {
+            fleet: "museums".into(),
+            member: id,
+            about,
+            stewards: (1..=STEWARDS).map(|n| at(&format!("steward-{n}"))).collect(),
+            renew: terms().renew,
+        };
+        let part = Rc::new(Stub {
+            lines: self.lines.clone(),
+            clock: self.clock,
+            member: name.clone(),
+            incarnation,
+            since: self.clock.now(),
+            drains: Cell::default(),
+        });
+        let (network, clock, hold, this) =
+            (self.ether.host(&name), self.clock, Hold::default(), self.clone());
+        let held = hold.clone();
+        let ended_name = name.clone();
+        let task = tokio::task::spawn_local(async move {
+            let local = tokio::task::LocalSet::new();
+            let part = local.run_until(take_part(with, network, clock, part));
+            let ended = stoppable(held, part).await;
+            let code = if ended == Ended::Drained { 0 } else { 2 };
+            this.note_end(&ended_name, Some(code), false);
+            let again = this.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                if ended == Ended::Drained && !again.over.get() && !again.is_running(&ended_name) {
+                    again.member(id);
+                }
+            });
+        });
+        self.lives.borrow_mut().insert(name, Life { task, hold });
+    }
+
+    fn note_end(&self, process: &str, code: Option<i32>, killed: bool) {
+        let line = Line::Ended { at_ns: ns(self.clock.now()), process: process.to_owned(), code, killed };
+        self.lines.borrow_mut().push(line);
+    }
+
+    /// As SIGKILL; of a steward's disk what was not synced is there, in part or not.
+    pub async fn kill(&self, name: &str) {
+        let Some(life) = self.lives.borrow_mut().remove(name).filter(|l| !l.task.is_finished()) else {
+            return;
+        };
+        life.task.abort();
+        let _ = life.task.await;
+        self.note_end(name, None, true);
+        if let Some(number) = name.strip_prefix("steward-").and_then(|n| n.parse::<u32>().ok()) {
+            let torn = self.disks.borrow()[&number].after_power_cut(&mut self.rng.borrow_mut());
+            self.disks.borrow_mut().insert(number, torn);
+        }
+    }
+
+    pub fn stall(&self, name: &str, span: Duration) {
+        if let Some(life) = self.lives.borrow().get(name) {
+            life.hold.stop(span);
+            let process = name.to_owned();
+            self.lines.borrow_mut().push(Line::Stopped { at_ns: ns(self.clock.now()), process, still: true });
+        }
+    }
+
+    pub fn cut(&self, from: &str, to: &str) {
+        self.ether.cut(from, to);
+    }
+
+    pub fn heal(&self, from: &str, to: &str) {
+        self.ether.heal(from, to);
+    }
+
+    pub fn slow(&self, from: &str, to: &str, by: Tenths, on: bool) {
+        let line = Wire { delay: by, jitter: by };
+        if on { self.ether.slow(from, to, line) } else { self.ether.quicken(from, to, line) }
+    }
+
+    /// An operator's change, by the steward given first.
+    pub async fn operator(&self, first: usize, what: &str, change: Change) -> Result<Changed, String> {
+        let sent_ns = ns(self.clock.now());
+        let mut last = String::new();
+        for n in 0..self.callers.len() {
+            let caller = &self.callers[(first + n) % self.callers.len()];
+            let asked = Changes { change: change.clone() };
+            match caller.call::<Changed>("change", &asked, 4 * SECOND).await {
+                Ok(done) => {
+                    let (at_ns, answer) = (ns(self.clock.now()), String::new());
+                    let what = what.to_owned();
+                    self.lines.borrow_mut().push(Line::Asked { sent_ns, at_ns, what, done: true, answer });
+                    return Ok(done);
+                }
+                Err(why) => last = why.to_string(),
+            }
+        }
+        if what == "resume" {
+            // It may have been done, and drains may begin.
+            let (at_ns, answer, what) = (sent_ns, last.clone(), what.to_owned());
+            self.lines.borrow_mut().push(Line::Asked { sent_ns, at_ns, what, done: false, answer });
+        }
+        Err(last)
+    }
+
+    pub async fn status(&self, n: usize) -> Option<Json> {
+        self.callers[n].call("status", json!({}), SECOND).await.ok()
+    }
+}
