Votes of a life that was forgotten no longer count; whole values can be read on the wire

A voter now begins a life when it starts, those who answer it hold that life on disk first, votes carry lives, and what an earlier life said does not count.

--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -16,7 +16,7 @@
 const MEMBERS_MOST: usize = 20_000;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "change", rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Change {
     /// By the member, at its start.
     Join {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,4 +21,4 @@
 
 pub use change::{Change, Done, Refusal};
 pub use fleet::{Fleet, Kind, Member, MemberId, Phase};
-pub use register::{Acceptor, Ballot, Config, Round, Voter};
+pub use register::{Acceptor, Ballot, Config, Mark, Round, Voter};
--- a/crates/fleet/src/recovery.rs
+++ b/crates/fleet/src/recovery.rs
@@ -1,7 +1,9 @@
 //! When a steward that starts may vote again. Its disk may be an old copy, or another disk than it voted from; then it has
 //! forgotten promises, and with its vote a second majority could form beside the first.
 //!
-//! What counts is heard after the start, and so after all that it may have forgotten.
+//! What counts is heard after the start, and so after all that it may have forgotten. Votes of the life before that are
+//! still on their way would count for what it has forgotten: so it begins another life, and those who answer know of it
+//! before they do (crash-consistent quorums; Michael and others, 2017).
 
 use crate::register::{Acceptor, Ballot, Config, Value, Voter};
 use serde::{Deserialize, Serialize};
@@ -13,6 +15,8 @@
     /// It does not vote itself yet.
     pub returning: bool,
     pub acceptor: Acceptor<V>,
+    /// The latest life of the asker that it knew of before.
+    pub life_before: u64,
     /// The most writes that it has heard of from the one that starts.
     pub writes_of_yours: u64,
 }
@@ -33,19 +37,34 @@
     me: Voter,
     mine: Acceptor<V>,
     founding: Config,
+    /// The life that it begins.
+    life: u64,
     heard: BTreeMap<Voter, Heard<V>>,
 }
 
 impl<V: Value> Returning<V> {
     /// `founding`: who holds a fleet of which nothing else is known.
     pub fn new(me: Voter, mine: Acceptor<V>, founding: Config) -> Self {
-        Self { me, mine, founding, heard: BTreeMap::new() }
+        let life = mine.life + 1;
+        Self { me, mine, founding, life, heard: BTreeMap::new() }
     }
 
     pub fn heard(&mut self, from: Voter, what: Heard<V>) {
-        if from != self.me {
-            self.heard.insert(from, what);
+        if from == self.me || what.acceptor.lives.of(self.me) < self.life {
+            return;
         }
+        if what.life_before >= self.life && !self.heard.contains_key(&from) {
+            // Another start may have had this life already: those who answered know of none of ours.
+            self.life = what.life_before + 1;
+            self.heard.clear();
+            return;
+        }
+        self.heard.insert(from, what);
+    }
+
+    /// What others are to be told when they are asked.
+    pub fn life(&self) -> u64 {
+        self.life
     }
 
     /// The latest config that anybody has accepted a value with.
@@ -87,17 +106,19 @@
     /// What it holds from now on: no promise below anybody's, and the latest value that anybody has.
     pub fn adopt(self) -> Acceptor<V> {
         let mut mine = self.mine;
-        let before = (mine.promised, mine.accepted.as_ref().map(|a| a.ballot));
         let known = self.heard.values().map(|h| h.writes_of_yours).max().unwrap_or(0);
+        mine.life = self.life;
+        mine.writes += 1;
         for h in self.heard.into_values() {
+            mine.lives.learn_all(&h.acceptor.lives);
             mine.promised = mine.promised.max(h.acceptor.promised);
             let latest = mine.accepted.as_ref().map_or(Ballot::default(), |a| a.ballot);
             if let Some(a) = h.acceptor.accepted.filter(|a| a.ballot > latest) {
                 mine.accepted = Some(a);
             }
         }
-        if before != (mine.promised, mine.accepted.as_ref().map(|a| a.ballot)) || known > mine.writes {
-            mine.writes = mine.writes.max(known) + 1;
+        if known >= mine.writes {
+            mine.writes = known + 1;
         }
         mine
     }
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -6,7 +6,7 @@
 //! after a value that names both is known to be held by a quorum ([`Config::settled`]).
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// A steward by its number and the disk it votes from. Another disk is another voter: what the old one promised is not
@@ -112,17 +112,65 @@
         self.now.contains(&voter) || self.next.as_ref().is_some_and(|n| n.contains(&voter))
     }
 
-    /// Whether every quorum that `away` may have been part of has one of `others` in it too.
+    /// Whether every quorum that `away` may have been part of has one of `others` in it too: a majority of any set that it
+    /// is in. While two sets decide, both have to be met: that the newer decides beside the older may not have been agreed
+    /// yet, and that it decides alone may have been already.
     pub fn all_quorums_meet(&self, away: Voter, others: &BTreeSet<Voter>) -> bool {
-        let meets = |set: &BTreeSet<Voter>| {
-            // Those that did not answer are, with it, no majority.
-            set.iter().filter(|v| **v == away || !others.contains(v)).count() * 2 <= set.len()
-        };
-        // A quorum is a majority of each set: meeting it in one of them is enough.
-        meets(&self.now) || self.next.as_ref().is_some_and(meets)
+        let sets = [Some(&self.now), self.next.as_ref()];
+        let mut mine = sets.into_iter().flatten().filter(|set| set.contains(&away));
+        // Those that did not answer are, with it, no majority.
+        mine.all(|set| set.iter().filter(|v| **v == away || !others.contains(v)).count() * 2 <= set.len())
     }
 }
 
+/// Which life of each voter is the latest that somebody knows of. A voter begins another when it can't be sure that it
+/// remembers all that it promised.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "Vec<(Voter, u64)>", into = "Vec<(Voter, u64)>")]
+pub struct Lives(BTreeMap<Voter, u64>);
+
+impl From<Vec<(Voter, u64)>> for Lives {
+    fn from(pairs: Vec<(Voter, u64)>) -> Self {
+        Self(pairs.into_iter().collect())
+    }
+}
+
+impl From<Lives> for Vec<(Voter, u64)> {
+    fn from(lives: Lives) -> Self {
+        lives.0.into_iter().collect()
+    }
+}
+
+impl Lives {
+    pub fn of(&self, voter: Voter) -> u64 {
+        self.0.get(&voter).copied().unwrap_or(0)
+    }
+
+    /// True: that was news.
+    pub fn learn(&mut self, voter: Voter, life: u64) -> bool {
+        let news = life > self.of(voter);
+        if news {
+            self.0.insert(voter, life);
+        }
+        news
+    }
+
+    pub fn learn_all(&mut self, other: &Lives) {
+        for (voter, life) in &other.0 {
+            self.learn(*voter, *life);
+        }
+    }
+}
+
+/// Who votes, in which of its lives, and which lives of others it knows of. What an earlier life said while a later one is
+/// known does not count: the later one may not remember it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Mark {
+    pub from: Voter,
+    pub life: u64,
+    pub lives: Lives,
+}
+
 /// What is kept in the register.
 pub trait Value: Clone {
     fn config(&self) -> &Config;
@@ -141,15 +189,33 @@
     pub accepted: Option<Accepted<V>>,
     /// How often it changed; others remember it, and so an old copy of the disk shows.
     pub writes: u64,
+    #[serde(default)]
+    pub life: u64,
+    #[serde(default)]
+    pub lives: Lives,
 }
 
 impl<V> Default for Acceptor<V> {
     fn default() -> Self {
-        Self { promised: Ballot::default(), accepted: None, writes: 0 }
+        Self { promised: Ballot::default(), accepted: None, writes: 0, life: 0, lives: Lives::default() }
     }
 }
 
 impl<V: Value> Acceptor<V> {
+    /// Goes with each vote.
+    pub fn mark(&self, me: Voter) -> Mark {
+        Mark { from: me, life: self.life, lives: self.lives.clone() }
+    }
+
+    /// Another voter begins a life. Gives the latest that was known of it before.
+    pub fn life_begins(&mut self, of: Voter, life: u64) -> u64 {
+        let before = self.lives.of(of);
+        if self.lives.learn(of, life) {
+            self.writes += 1;
+        }
+        before
+    }
+
     /// Promises to take nothing below `ballot`; gives what was accepted last. Refused with what was promised to another.
     pub fn prepare(&mut self, ballot: Ballot) -> Result<Option<&Accepted<V>>, Ballot> {
         if ballot < self.promised {
@@ -183,16 +249,18 @@
     pub ballot: Ballot,
     /// Whose promises are needed.
     config: Config,
-    promised: BTreeSet<Voter>,
+    promised: BTreeMap<Voter, u64>,
     latest: Option<Accepted<V>>,
     put: Option<V>,
-    accepted: BTreeSet<Voter>,
+    accepted: BTreeMap<Voter, u64>,
+    lives: Lives,
 }
 
 impl<V: Value> Round<V> {
     /// `config`: the latest that the proposer has seen in any value, or the founding one.
     pub fn new(ballot: Ballot, config: Config) -> Self {
-        Self { ballot, config, promised: BTreeSet::new(), latest: None, put: None, accepted: BTreeSet::new() }
+        let (promised, accepted, lives) = Default::default();
+        Self { ballot, config, promised, latest: None, put: None, accepted, lives }
     }
 
     /// Whose promises are asked for; more when a promise shows other stewards.
@@ -201,11 +269,12 @@
     }
 
     /// A promise came. True: the value was read, and [`Self::read`] and [`Self::put`] may be used.
-    pub fn promised(&mut self, from: Voter, accepted: Option<Accepted<V>>) -> bool {
+    pub fn promised(&mut self, by: &Mark, accepted: Option<Accepted<V>>) -> bool {
         if self.put.is_some() {
             return false;
         }
-        self.promised.insert(from);
+        self.hear(by);
+        self.promised.insert(by.from, by.life);
         if let Some(a) = accepted
             && self.latest.as_ref().is_none_or(|l| a.ballot > l.ballot)
         {
@@ -215,8 +284,18 @@
         self.is_read()
     }
 
+    fn hear(&mut self, by: &Mark) {
+        self.lives.learn_all(&by.lives);
+        self.lives.learn(by.from, by.life);
+    }
+
+    /// Those whose life has not ended since they spoke, as far as anybody who spoke knows.
+    fn living(&self, spoke: &BTreeMap<Voter, u64>) -> BTreeSet<Voter> {
+        spoke.iter().filter(|(v, life)| **life >= self.lives.of(**v)).map(|(v, _)| *v).collect()
+    }
+
     pub fn is_read(&self) -> bool {
-        self.config.is_quorum(&self.promised)
+        self.config.is_quorum(&self.living(&self.promised))
     }
 
     /// What a quorum holds, or may hold; none: nothing was ever put.
@@ -238,17 +317,23 @@
     }
 
     /// True: the value is chosen, by quorums of what was read and of what was put.
-    pub fn accepted(&mut self, from: Voter) -> bool {
-        let Some(put) = &self.put else { return false };
-        self.accepted.insert(from);
-        self.config.is_quorum(&self.accepted) && put.config().is_quorum(&self.accepted)
+    pub fn accepted(&mut self, by: &Mark) -> bool {
+        if self.put.is_none() {
+            return false;
+        }
+        self.hear(by);
+        self.accepted.insert(by.from, by.life);
+        let accepted = self.living(&self.accepted);
+        let put = self.put.as_ref().is_some_and(|put| put.config().is_quorum(&accepted));
+        // Whether what was read is still held by those who promised is part of it.
+        put && self.config.is_quorum(&accepted) && self.is_read()
     }
 
-    pub fn has_accepted(&self) -> &BTreeSet<Voter> {
-        &self.accepted
+    pub fn has_accepted(&self) -> BTreeSet<Voter> {
+        self.living(&self.accepted)
     }
 
-    pub fn has_promised(&self) -> &BTreeSet<Voter> {
-        &self.promised
+    pub fn has_promised(&self) -> BTreeSet<Voter> {
+        self.living(&self.promised)
     }
 }
--- a/crates/fleet/tests/all/every_order.rs
+++ b/crates/fleet/tests/all/every_order.rs
@@ -1,6 +1,6 @@
 //! Every order in which two proposers' messages can reach the acceptors and come back, each message late, twice or never.
 
-use crate::support::{Lines, Seen, linearizable, voter, voters};
+use crate::support::{Lines, Seen, linearizable, mark, voter, voters};
 use saltdrum_fleet::register::{Accepted, Acceptor, Ballot, Config, Round, Voter};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -119,7 +119,7 @@
         let (proven, founding) = (p.proven.clone(), p.config.clone());
         let round = p.round.as_mut().unwrap();
         let before = round.asks();
-        if round.promised(from, accepted) {
+        if round.promised(&mark(from), accepted) {
             let mut value =
                 round.read().map_or(Lines { config: founding, lines: vec![] }, |a| a.value.clone());
             value.lines.push(line);
@@ -145,7 +145,7 @@
         else {
             return;
         };
-        if p.round.as_mut().unwrap().accepted(from) {
+        if p.round.as_mut().unwrap().accepted(&mark(from)) {
             let value = p.round.take().unwrap().value().unwrap().clone();
             let line = p.steward * 10 + p.tries;
             (p.config, p.proven) = (value.config.clone(), Some(value.config.clone()));
@@ -235,7 +235,7 @@
 }
 
 /// Plays every order, as far as `most` different worlds; gives how many there were, or the first that is wrong.
-fn explore(world: World, most: usize) -> Result<usize, (String, World)> {
+fn explore(world: World, most: usize) -> Result<usize, String> {
     let (mut known, mut open) = (BTreeSet::from([world.key()]), vec![world]);
     while let Some(world) = open.pop() {
         for next in world.nexts() {
@@ -243,7 +243,7 @@
                 continue;
             }
             if let Err(why) = linearizable(&next.seen) {
-                return Err((why, next));
+                return Err(format!("{why}: {:?}", next.seen));
             }
             open.push(next);
         }
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! The register under every order, and under many drawn ones; the fleet's changes under chance.
 
 mod every_order;
+mod many_orders;
 mod support;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -1,6 +1,6 @@
 //! A register that holds what was appended to it, and the checker of what callers saw.
 
-use saltdrum_fleet::register::{Config, Value, Voter};
+use saltdrum_fleet::register::{Config, Mark, Value, Voter};
 use std::collections::BTreeSet;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -19,6 +19,11 @@
     Voter { steward, disk: 0 }
 }
 
+/// Of voters that remember everything.
+pub fn mark(from: Voter) -> Mark {
+    Mark { from, life: 0, lives: Default::default() }
+}
+
 pub fn voters(all: impl IntoIterator<Item = u32>) -> BTreeSet<Voter> {
     all.into_iter().map(voter).collect()
 }
--- a/crates/steward/src/care.rs
+++ b/crates/steward/src/care.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// How long ago this steward heard each member that it ever heard.
+    pub(crate) fn heard_ms_ago(&self) -> BTreeMap<MemberId, u64> {
+        let now = self.clock.now();
+        self.lives.borrow().iter().map(|(id, l)| (*id, l.silence.since(now) / MILLI)).collect()
+    }
+
     pub(crate) fn opinions(&self, said: Opinions) {
         self.booth.borrow_mut().hear_writes(said.from, said.writes);
         let peer =
@@ -299,13 +305,12 @@
                 let this = self.clone();
                 answers.spawn_local(async move {
                     let peer = this.peer(steward)?;
-                    let asked = crate::wire::Recover { from: me };
+                    let asked = crate::wire::Recover { from: me, life: this.booth.borrow().life() };
                     peer.call::<(Voter, Heard<Fleet>)>("recover", &asked, 500 * MILLI).await.ok()
                 });
             }
             if others.is_empty() {
-                let alone = self.booth.borrow().recover(me);
-                verdict = self.booth.borrow_mut().heard(me, alone).map_err(|e| e.1)?;
+                verdict = self.booth.borrow_mut().heard_nobody().map_err(|e| e.1)?;
             }
             while let Some(answer) = answers.join_next().await {
                 if let Ok(Some((from, heard))) = answer {
--- a/crates/steward/src/propose.rs
+++ b/crates/steward/src/propose.rs
@@ -129,7 +129,7 @@
             // Each that was asked answers, or is told to have not, in bounded time.
             let Some((from, vote)) = votes.recv().await else { return Err(Lost::Unanswered) };
             match vote {
-                Ok(Vote::Promised { accepted, value, .. }) => {
+                Ok(Vote::Promised { accepted, value, mark, .. }) => {
                     let known = || mine.as_ref().filter(|m| Some(m.0) == accepted).map(|m| m.1.clone());
                     let value = value.map(|v| *v).or_else(known);
                     if accepted.is_some() != value.is_some() {
@@ -137,7 +137,7 @@
                         silent.insert(from);
                     } else {
                         let accepted = accepted.zip(value).map(|(ballot, value)| Accepted { ballot, value });
-                        round.promised(from, accepted);
+                        round.promised(&mark, accepted);
                     }
                     self.ask_all(&mut asked, round.asks(), |voter, this| {
                         this.ask_promise(Prepare { to: voter, ballot, have }, to.clone());
@@ -165,9 +165,9 @@
         });
         drop(to);
         let mut overtaken = None;
-        while let Some((from, vote)) = votes.recv().await {
+        while let Some((_, vote)) = votes.recv().await {
             match vote {
-                Ok(Vote::Accepted { .. }) if round.accepted(from) => {
+                Ok(Vote::Accepted { mark, .. }) if round.accepted(&mark) => {
                     self.decided(ballot, fleet.clone());
                     debug!(revision = fleet.revision, changes = changes.len(), "agreed");
                     return Ok((fleet, told));
@@ -231,7 +231,7 @@
 
     fn hear_vote(&self, voter: Voter, vote: &Result<Vote, Fault>) {
         match vote {
-            Ok(Vote::Promised { writes, .. } | Vote::Accepted { writes }) => {
+            Ok(Vote::Promised { writes, .. } | Vote::Accepted { writes, .. }) => {
                 self.booth.borrow_mut().hear_writes(voter, *writes);
             }
             Ok(Vote::Refused { promised }) => self.highest.set(self.highest.get().max(*promised)),
--- a/crates/steward/src/service.rs
+++ b/crates/steward/src/service.rs
@@ -275,8 +275,8 @@
             }
             "recover" => {
                 let asked: Recover = self.said(call)?;
-                let booth = self.booth.borrow();
-                told((booth.me(), booth.recover(asked.from)))
+                let mut booth = self.booth.borrow_mut();
+                told((booth.me(), booth.recover(asked.from, asked.life)?))
             }
             "decided" => {
                 self.said::<Json>(call)?;
@@ -319,7 +319,7 @@
         json!({
             "steward": self.seat.number, "voter": booth.me().to_string(), "life": self.seat.life,
             "votes": !booth.is_returning() && booth.is_writable(), "writes": booth.writes(),
-            "settled": self.is_settled(), "waits_for": fleet.as_ref().and_then(|f| waits_for(f)),
+            "settled": self.is_settled(), "heard_ms_ago": self.heard_ms_ago(), "waits_for": fleet.as_ref().and_then(|f| waits_for(f)),
             "fleet": fleet.as_deref(),
         })
     }
--- a/crates/steward/src/vote.rs
+++ b/crates/steward/src/vote.rs
@@ -97,13 +97,13 @@
     pub fn prepare(&mut self, asked: &Prepare) -> Result<Vote, Refused> {
         self.may_vote(asked.to)?;
         let told = self.change(|a| a.prepare(asked.ballot).map(|a| a.cloned()))?;
-        let writes = self.acceptor.writes;
+        let (mark, writes) = (self.acceptor.mark(self.me()), self.acceptor.writes);
         Ok(match told {
             Err(promised) => Vote::Refused { promised },
-            Ok(None) => Vote::Promised { accepted: None, value: None, writes },
+            Ok(None) => Vote::Promised { accepted: None, value: None, mark, writes },
             Ok(Some(a)) => {
                 let value = (a.ballot != asked.have).then(|| Box::new(a.value));
-                Vote::Promised { accepted: Some(a.ballot), value, writes }
+                Vote::Promised { accepted: Some(a.ballot), value, mark, writes }
             }
         })
     }
@@ -111,26 +111,46 @@
     pub fn accept(&mut self, asked: Accept) -> Result<Vote, Refused> {
         self.may_vote(asked.to)?;
         let told = self.change(|a| a.accept(asked.ballot, *asked.value))?;
-        let writes = self.acceptor.writes;
+        let (mark, writes) = (self.acceptor.mark(self.me()), self.acceptor.writes);
         Ok(match told {
             Err(promised) => Vote::Refused { promised },
-            Ok(()) => Vote::Accepted { writes },
+            Ok(()) => Vote::Accepted { mark, writes },
         })
     }
 
-    /// What another that starts is told.
-    pub fn recover(&self, from: Voter) -> Heard<Fleet> {
+    /// What another that starts is told, once the life that it begins is on this disk.
+    pub fn recover(&mut self, from: Voter, life: u64) -> Result<Heard<Fleet>, Refused> {
+        let life_before = self.change(|a| a.life_begins(from, life))?;
         let writes_of_yours = self.writes.get(&from).copied().unwrap_or(0);
-        Heard { returning: self.returning.is_some(), acceptor: self.acceptor.clone(), writes_of_yours }
+        let acceptor = self.acceptor.clone();
+        Ok(Heard { returning: self.returning.is_some(), acceptor, life_before, writes_of_yours })
+    }
+
+    /// The life that this steward begins, until it votes.
+    pub fn life(&self) -> u64 {
+        self.returning.as_ref().map_or(self.acceptor.life, Returning::life)
+    }
+
+    /// With nobody else to ask.
+    pub fn heard_nobody(&mut self) -> Result<Verdict, Refused> {
+        self.judge()
     }
 
     /// Another answered this one, which has started.
     pub fn heard(&mut self, from: Voter, what: Heard<Fleet>) -> Result<Verdict, Refused> {
         let Some(returning) = &mut self.returning else { return Ok(Verdict::Vote) };
         returning.heard(from, what);
+        self.judge()
+    }
+
+    fn judge(&mut self) -> Result<Verdict, Refused> {
+        let Some(returning) = &self.returning else { return Ok(Verdict::Vote) };
         let verdict = returning.verdict();
         if verdict == Verdict::Vote {
-            let adopted = returning.clone().adopt();
+            let mut adopted = returning.clone().adopt();
+            // Others began lives while this one was returning.
+            adopted.lives.learn_all(&self.acceptor.lives);
+            adopted.writes = adopted.writes.max(self.acceptor.writes + 1);
             let writes = adopted.writes;
             self.change(|a| *a = adopted)?;
             self.returning = None;
--- a/crates/steward/src/wire.rs
+++ b/crates/steward/src/wire.rs
@@ -3,7 +3,7 @@
 use saltdrum_fleet::change::Change;
 use saltdrum_fleet::fleet::{Fleet, MemberId, Phase};
 use saltdrum_fleet::next::Seen;
-use saltdrum_fleet::register::{Ballot, Voter};
+use saltdrum_fleet::register::{Ballot, Mark, Voter};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -39,15 +39,18 @@
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(tag = "vote", rename_all = "kebab-case")]
+// With a tag inside, numbers that are keys of a map in the value could not be read back.
+#[serde(rename_all = "kebab-case")]
 pub enum Vote {
     /// `value` is left out where the proposer has it.
     Promised {
         accepted: Option<Ballot>,
         value: Option<Box<Fleet>>,
+        mark: Mark,
         writes: u64,
     },
     Accepted {
+        mark: Mark,
         writes: u64,
     },
     /// More was promised to another.
@@ -68,6 +71,8 @@
 #[serde(deny_unknown_fields)]
 pub struct Recover {
     pub from: Voter,
+    /// That it begins.
+    pub life: u64,
 }
 
 /// Between stewards, several times a second.
@@ -127,3 +132,30 @@
 pub struct DryRun {
     pub members: Vec<MemberId>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use saltdrum_fleet::register::Config;
+
+    /// A vote with a whole value in it could not be read: a steward that lagged behind was never brought along.
+    #[test]
+    fn what_holds_the_whole_fleet_is_read_back_as_it_was() {
+        let at = BTreeMap::from([(1, "unix:/a".to_owned()), (2, "unix:/b".into()), (3, "unix:/c".into())]);
+        let voters: std::collections::BTreeSet<Voter> =
+            (1..=3).map(|steward| Voter { steward, disk: 7 }).collect();
+        let config = Config::founding(voters.clone()).unwrap();
+        let value = Some(Box::new(Fleet::founded("museums", config, at.clone(), Vec::new(), 0)));
+        let one = Voter { steward: 1, disk: 7 };
+        let lives = vec![(one, 3)].into();
+        let mark = Mark { from: one, life: 2, lives };
+        let vote = Vote::Promised { accepted: Some(Ballot::default()), value, mark, writes: 4 };
+        let text = serde_json::to_string(&vote).unwrap();
+        let read: Vote = serde_json::from_str(&text).unwrap();
+        assert_eq!(serde_json::to_string(&read).unwrap(), text);
+        let asked = Changes { change: Change::Stewards { voters, at, by: "them".into() } };
+        let text = serde_json::to_string(&asked).unwrap();
+        let read: Changes = serde_json::from_value(serde_json::from_str(&text).unwrap()).unwrap();
+        assert_eq!(read.change, asked.change);
+    }
+}
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -89,11 +89,9 @@
                         }
                     }
                 }
-                "up" | "turned-back" => {
-                    if what == "up" {
-                        out.planned.remove(member);
-                        out.dead.remove(member);
-                    }
+                "up" => {
+                    out.planned.remove(member);
+                    out.dead.remove(member);
                 }
                 _ => {}
             },
@@ -165,7 +163,7 @@
         let one = [told(10, "invoker-1", "began", 1), told(20, "invoker-1", "up", 0)];
         assert_eq!(found(&one), [0usize; 0]);
         let next = told(30, "invoker-2", "began", 2);
-        assert_eq!(found(&[&one[..], &[next.clone()]].concat()), [0usize; 0]);
+        assert_eq!(found(&[&one[..], std::slice::from_ref(&next)].concat()), [0usize; 0]);
         assert_eq!(found(&[one[0].clone(), next.clone()]), [0, 1]);
         let other = told(30, "controller-2", "began", 2);
         assert_eq!(found(&[one[0].clone(), other]), [0usize; 0], "another kind has its own bound");
