--- a/crates/cli/tests/trials.rs
+++ b/crates/cli/tests/trials.rs
@@ -19,6 +19,7 @@
         "crossed-wires",
         "room-used-up",
         "old-disk",
+        "lost-disk",
         "granted-and-killed",
     ] {
         let folder = tempfile::tempdir().unwrap();
--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -4,4 +4,5 @@
 #[expect(dead_code, reason = "made for the registry, which bends its disks in more ways")]
 mod disk;
 mod many_days;
+mod pace;
 mod world;
