--- a/crates/fleet/tests/all/changes.rs
+++ b/crates/fleet/tests/all/changes.rs
@@ -62,9 +62,27 @@
     let member = MemberId::invoker(rng.u32(1..=8));
     let known = fleet.members.get(&member);
     // Mostly the life that counts, sometimes one before or after it.
-    let incarnation = known.map_or(1, |m| m.about.incarnation) + u64::from(rng.u8(..6) == 0) - u64::from(rng.u8(..9) == 0);
+    let incarnation =
+        known.map_or(1, |m| m.about.incarnation) + u64::from(rng.u8(..6) == 0) - u64::from(rng.u8(..9) == 0);
     let grant = known.and_then(|m| m.phase.grant()).filter(|_| rng.u8(..5) > 0).unwrap_or(rng.u64(..20));
     let by = || "them".to_owned();
+    // Every other time what would come next for it, so that drains get somewhere.
+    if rng.bool()
+        && let Some(m) = known
+    {
+        let incarnation = m.about.incarnation;
+        return match m.phase {
+            Phase::Up if fleet.halt.is_some() => Change::Resume { by: by() },
+            Phase::Up if fleet.asks.values().any(|a| a.waiting.contains(&member)) => Change::Grant { member },
+            Phase::Up => ask(&format!("ask-{n}"), [member.number]),
+            Phase::Granted { grant } => Change::Begin { member, incarnation, grant },
+            Phase::Draining { .. } => Change::Leave { member, incarnation },
+            Phase::Starting { .. } => Change::Proven { member, incarnation },
+            Phase::Away { .. } | Phase::Lost { .. } => {
+                Change::Join { member, about: about(incarnation + 1, member.number) }
+            }
+        };
+    }
     match rng.u8(..18) {
         0 => Change::Join { member, about: about(incarnation.max(1), member.number) },
         1..4 => Change::Proven { member, incarnation },
@@ -113,7 +131,10 @@
             {
                 begun_in_all += 1;
                 assert!(begun.insert(*grant), "seed {seed}: grant {grant} begun twice, by {member}");
-                assert!(!taken_back.contains(grant), "seed {seed}: grant {grant} begun after it was taken back");
+                assert!(
+                    !taken_back.contains(grant),
+                    "seed {seed}: grant {grant} begun after it was taken back"
+                );
             }
             // Grants that no member holds any more, and nobody began.
             let held: BTreeSet<u64> = fleet.members.values().filter_map(|m| m.phase.grant()).collect();
@@ -146,7 +167,8 @@
     assert_eq!(next(&fleet, &seen), None, "one is lost: it has the third place");
     let waits = saltdrum_fleet::next::waits_for(&fleet).unwrap();
     assert!(waits.contains("4 where 3 is the bound"), "{waits}");
-    let steps = dry_run(&with(8, vec![bound(Kind::Invoker, 3)]), &(1..=8).map(member).collect::<Vec<_>>()).unwrap();
+    let steps =
+        dry_run(&with(8, vec![bound(Kind::Invoker, 3)]), &(1..=8).map(member).collect::<Vec<_>>()).unwrap();
     assert_eq!(steps.iter().map(|s| s.go.len()).collect::<Vec<_>>(), [3, 3, 2]);
 }
 
@@ -164,7 +186,10 @@
         (ask("a", [1, 3]), "ask 'a' is known with other members"),
         (ask("", [3]), "id = ''"),
         (ask("b", []), "at least one member"),
-        (Change::Forget { member: MemberId::invoker(1), by: "them".into() }, "invoker-1 is up: lost or away is expected"),
+        (
+            Change::Forget { member: MemberId::invoker(1), by: "them".into() },
+            "invoker-1 is up: lost or away is expected",
+        ),
         (
             Change::Begin { member: MemberId::invoker(1), incarnation: 1, grant: 1 },
             "invoker-1: grant 1 is not its own any more",
@@ -193,6 +218,9 @@
     ] {
         assert_eq!(fleet.apply(&change), Err(Refusal::Replaced { member, incarnation: 1 }));
     }
-    assert!(fleet.apply(&Change::Begin { member, incarnation: 2, grant }).is_err(), "granted to the life before");
+    assert!(
+        fleet.apply(&Change::Begin { member, incarnation: 2, grant }).is_err(),
+        "granted to the life before"
+    );
     assert_eq!(fleet.asks["a"].waiting, [member], "it is still to go");
 }
--- a/crates/steward/tests/all/pace.rs
+++ b/crates/steward/tests/all/pace.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 use tokio::task::LocalSet;
 
-const SIZE: Size =
-    Size { invokers: 12, bound: 2, drain: 5 * SECOND, restart: SECOND, prove: 2 * SECOND };
+const SIZE: Size = Size { invokers: 12, bound: 2, drain: 5 * SECOND, restart: SECOND, prove: 2 * SECOND };
 
 async fn pause(span: Tenths) {
     tokio::time::sleep(Duration::from_micros(span * 100)).await;
--- a/crates/steward/tests/all/world.rs
+++ b/crates/steward/tests/all/world.rs
@@ -138,8 +138,8 @@
         let detect_ns = 8_000_000_000;
         let bound = Line::Bound {
             kind: "invoker".into(),
-            out: BOUND as usize,
-            members: INVOKERS as usize,
+            out: size.bound as usize,
+            members: size.invokers as usize,
             detect_ns,
         };
         Rc::new(Self {
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -414,8 +414,10 @@
                 self.disks(of, |disk, _| std::fs::remove_file(disk))
             }
             Do::Replace => {
-                self.until("the new disk's voter", async || of.iter().all(|p| self.voters.borrow().contains_key(p)))
-                    .await?;
+                self.until("the new disk's voter", async || {
+                    of.iter().all(|p| self.voters.borrow().contains_key(p))
+                })
+                .await?;
                 let voters = self.voters.borrow().clone();
                 let named = voters.iter().map(|(p, voter)| format!("{voter}={}", self.unix(p)));
                 let args: Vec<String> = ["stewards".to_owned()].into_iter().chain(named).collect();
@@ -423,7 +425,8 @@
                 self.until("the new stewards alone", async || {
                     let Some(s) = self.status().await else { return false };
                     s["fleet"]["config"]["now"].as_array().is_some_and(|now| {
-                        s["fleet"]["config"]["next"].is_null() && now.iter().any(|v| v["disk"].as_u64() != Some(0))
+                        s["fleet"]["config"]["next"].is_null()
+                            && now.iter().any(|v| v["disk"].as_u64() != Some(0))
                     })
                 })
                 .await
