--- a/crates/steward/src/propose.rs
+++ b/crates/steward/src/propose.rs
@@ -3,11 +3,13 @@
 
 use crate::caller::Fault;
 use crate::service::Steward;
+use crate::vote::{Booth, Refused};
 use crate::wire::{Accept, NO_VOTE, Prepare, REFUSED, UNSETTLED, Vote};
 use saltdrum::port::{MILLI, Tenths};
 use saltdrum_fleet::change::{Change, Done};
 use saltdrum_fleet::fleet::Fleet;
 use saltdrum_fleet::register::{Accepted, Ballot, Round, Voter};
+use serde::Serialize;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +23,8 @@
 /// Rounds that a batch is tried for.
 const TRIES: u32 = 12;
 
+type Votes = mpsc::UnboundedSender<(Voter, Result<Vote, Fault>)>;
+
 pub type Told = Result<(Done, u64), (i64, String)>;
 
 pub struct Waiting {
@@ -193,34 +197,31 @@
         }
     }
 
-    fn ask_promise(self: &Rc<Self>, asked: Prepare, to: mpsc::UnboundedSender<(Voter, Result<Vote, Fault>)>) {
-        let this = self.clone();
-        tokio::task::spawn_local(async move {
-            let voter = asked.to;
-            let vote = if voter == this.booth.borrow().me() {
-                let vote = this.booth.borrow_mut().prepare(&asked);
-                vote.map_err(|(code, message)| Fault::Told { code, message })
-            } else {
-                match this.peer(voter.steward) {
-                    Some(peer) => peer.call("prepare", &asked, PATIENCE).await,
-                    None => Err(Fault::Told { code: NO_VOTE, message: "no address".into() }),
-                }
-            };
-            this.hear_vote(voter, &vote);
-            let _ = to.send((voter, vote));
-        });
+    fn ask_promise(self: &Rc<Self>, asked: Prepare, to: Votes) {
+        self.ask_vote(asked.to, "prepare", asked, |booth, asked| booth.prepare(&asked), to);
     }
 
-    fn ask_accept(self: &Rc<Self>, asked: Accept, to: mpsc::UnboundedSender<(Voter, Result<Vote, Fault>)>) {
+    fn ask_accept(self: &Rc<Self>, asked: Accept, to: Votes) {
+        self.ask_vote(asked.to, "accept", asked, Booth::accept, to);
+    }
+
+    /// One vote, of this steward itself or over its line; it comes, or that it did not, in bounded time.
+    fn ask_vote<T: Serialize + 'static>(
+        self: &Rc<Self>,
+        voter: Voter,
+        method: &'static str,
+        asked: T,
+        own: impl FnOnce(&mut Booth, T) -> Result<Vote, Refused> + 'static,
+        to: Votes,
+    ) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            let voter = asked.to;
             let vote = if voter == this.booth.borrow().me() {
-                let vote = this.booth.borrow_mut().accept(asked);
+                let vote = own(&mut this.booth.borrow_mut(), asked);
                 vote.map_err(|(code, message)| Fault::Told { code, message })
             } else {
                 match this.peer(voter.steward) {
-                    Some(peer) => peer.call("accept", &asked, PATIENCE).await,
+                    Some(peer) => peer.call(method, &asked, PATIENCE).await,
                     None => Err(Fault::Told { code: NO_VOTE, message: "no address".into() }),
                 }
             };
--- a/crates/steward/tests/all/world.rs
+++ b/crates/steward/tests/all/world.rs
@@ -86,6 +86,20 @@
     at * 100_000
 }
 
+fn about(id: MemberId, incarnation: u64) -> About {
+    About {
+        incarnation,
+        site: if id.number.is_multiple_of(2) { "huye" } else { "kigali" }.into(),
+        cell: (id.number / 2) as u16,
+        size: 1.0,
+        memory_mb: 1_000.0,
+        version: "1".into(),
+        address: at(&id.to_string()).to_string(),
+        machine: 0,
+        zone: 0,
+    }
+}
+
 struct Stub {
     lines: Rc<RefCell<Vec<Line>>>,
     clock: Clock,
@@ -199,17 +213,7 @@
 
     pub fn member(self: &Rc<Self>, id: MemberId) {
         let (name, incarnation) = (id.to_string(), self.next_life());
-        let about = About {
-            incarnation,
-            site: if id.number.is_multiple_of(2) { "huye" } else { "kigali" }.into(),
-            cell: (id.number / 2) as u16,
-            size: 1.0,
-            memory_mb: 1_000.0,
-            version: "1".into(),
-            address: at(&name).to_string(),
-            machine: 0,
-            zone: 0,
-        };
+        let about = about(id, incarnation);
         let with = TakesPart {
             fleet: "museums".into(),
             member: id,
@@ -254,17 +258,7 @@
         let callers: Vec<Caller> = (1..=STEWARDS)
             .map(|n| Caller::new(network.clone(), at(&format!("steward-{n}")), "museums"))
             .collect();
-        let about = About {
-            incarnation,
-            site: "kigali".into(),
-            cell: 0,
-            size: 1.0,
-            memory_mb: 1_000.0,
-            version: "1".into(),
-            address: at(&name).to_string(),
-            machine: 0,
-            zone: 0,
-        };
+        let about = about(id, incarnation);
         let (lines, clock, hold, told) = (self.lines.clone(), self.clock, Hold::default(), name.clone());
         let going = async move {
             let changes = [Change::Join { member: id, about }, Change::Proven { member: id, incarnation }];
