--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -126,7 +126,19 @@
                 let part =
                     joined.map(|j| j.controller(controller, incarnation, zone, &terms, &clients, &going));
                 let clients = vec![clients];
-                let seat = Seat { controller, incarnation, seed, zone, clients, lists, terms, names, going };
+                let opens_when_ready = part.is_some();
+                let seat = Seat {
+                    controller,
+                    incarnation,
+                    seed,
+                    zone,
+                    clients,
+                    lists,
+                    terms,
+                    names,
+                    going,
+                    opens_when_ready,
+                };
                 tokio::select! {
                     biased;
                     ended = crate::fleet::takes_part(part) => ended,
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -16,8 +16,13 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tracing::{error, info, info_span, warn};
 
+/// How often it is looked whether invokers can be reached, and how often at most once the list is in.
+const READY_LOOK: Duration = Duration::from_millis(10);
+const READY_LOOKS: u32 = 200;
+
 /// Where one controller sits.
 #[derive(Clone)]
 pub struct Seat {
@@ -33,6 +38,8 @@
     /// Where names that are not in the terms are looked up; none: there are no others.
     pub names: Option<NamesAt>,
     pub going: Going,
+    /// Clients come in once invokers can be reached: before that everything would be throttled, and there are others.
+    pub opens_when_ready: bool,
 }
 
 pub(crate) type Front = desk::Front<Links>;
@@ -294,17 +301,24 @@
             })
         })
     });
-    let mut doors = Vec::new();
-    for address in &front.seat.clients {
-        let listening = front.network.listen(address).await;
-        doors.push(listening.inspect_err(|e| error!(%address, %e, "can't listen"))?);
-    }
     let (turns, stood) = (front.turns.clone(), front.clone());
     tokio::task::spawn_local(turning(turns, clock, move |_, gap| {
         warn!(stood_ms = gap / MILLI, "this controller stood still");
         stood.tell(|state| state.desk.counts.stood_still += 1);
     }));
     tokio::task::spawn_local(list::follow(front.clone()));
+    if front.seat.opens_when_ready {
+        tokio::select! {
+            biased;
+            () = ready(&front) => {}
+            () = front.run_timers() => {}
+        }
+    }
+    let mut doors = Vec::new();
+    for address in &front.seat.clients {
+        let listening = front.network.listen(address).await;
+        doors.push(listening.inspect_err(|e| error!(%address, %e, "can't listen"))?);
+    }
     if let Some(at) = front.seat.names.clone() {
         tokio::task::spawn_local(names::keep(front.clone(), at));
     }
@@ -316,6 +330,19 @@
     Ok(())
 }
 
+/// The list is in, and half of its invokers are linked, or that took too long.
+async fn ready(front: &Front) {
+    let mut listed_looks = 0;
+    while listed_looks < READY_LOOKS {
+        let look = front.seat.going.look();
+        if look.listed && look.links_up > 0 && look.links_up * 2 >= look.links {
+            return;
+        }
+        listed_looks += u32::from(look.listed);
+        tokio::time::sleep(READY_LOOK).await;
+    }
+}
+
 /// Makes sure that an invoker has a link of its own; the list names it for the first time.
 pub(crate) fn reach(front: &Rc<Front>, invoker: InvokerId) {
     tokio::task::spawn_local(links::keep(front.clone(), invoker));
--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -177,6 +177,7 @@
             terms: Rc::new(Terms::load("terms.star", TERMS).unwrap().0),
             names: None,
             going: Default::default(),
+            opens_when_ready: false,
         };
         let handed: Rc<dyn Network> = Rc::new(network.clone());
         spawn_local(async move { serve(seat, handed, clock, make).await.unwrap() });
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -470,6 +470,7 @@
             terms: Rc::new(terms),
             names,
             going: Default::default(),
+            opens_when_ready: false,
         };
         let seed = self.day.seed ^ (u64::from(controller) << 40) ^ (incarnation << 56);
         let (terms, list, clock) = (self.day.terms.clone(), self.list_address.clone(), self.clock);
--- a/crates/steward/examples/cost.rs
+++ b/crates/steward/examples/agreement.rs
@@ -1,6 +1,6 @@
 //! What agreement and membership cost: three stewards on threads of their own, Unix sockets, real files.
 //!
-//!     cargo run --release -p saltdrum-steward --example cost
+//!     cargo run --release -p saltdrum-steward --example agreement
 
 #![expect(clippy::disallowed_methods, reason = "this measures time")]
 
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -1,7 +1,7 @@
 //! Starts, signals and ends the processes, and plays the steps.
 
 use crate::load::Load;
-use crate::record::{Line, now_ns};
+use crate::record::{How, Line, now_ns};
 use crate::script::{Do, Step, Trial};
 use crate::wires::{Way, Wires};
 use rustix::process::{Pid, Signal, kill_process};
@@ -15,6 +15,9 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 
+/// Invocations that succeed one after another before the steps begin.
+const WARM: usize = 20;
+
 const LOOK: Duration = Duration::from_millis(30);
 /// The trial itself took no turn for so long: the machine stood still.
 const STOOD_NS: u64 = 300_000_000;
@@ -109,6 +112,20 @@
         }
         let load = (self.trial.per_second > 0.0)
             .then(|| tokio::task::spawn_local(self.load().run(self.over.clone())));
+        if load.is_some() {
+            // The first copies are loaded before anything is done to the fleet: what that costs is not the steps' doing.
+            self.until("invocations that succeed", async || {
+                let lines = self.lines.borrow();
+                let how = lines.iter().rev().filter_map(|l| match l {
+                    Line::Invoked { how, .. } => Some(*how == How::Succeeded),
+                    _ => None,
+                });
+                let last: Vec<bool> = how.take(WARM).collect();
+                last.len() == WARM && last.iter().all(|well| *well)
+            })
+            .await?;
+            self.lines.borrow_mut().retain(|l| !matches!(l, Line::Invoked { .. }));
+        }
         for step in self.trial.steps.clone() {
             if let Err(why) = self.one(&step).await {
                 self.note(Line::Failed { at_ns: now_ns(), why: format!("{}: {why}", step.place) });
