--- a/crates/cli/tests/trials.rs
+++ b/crates/cli/tests/trials.rs
@@ -19,6 +19,8 @@
         "crossed-wires",
         "room-used-up",
         "old-disk",
+        "all-restarted",
+        "steward-stalled",
         "lost-disk",
         "granted-and-killed",
     ] {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -26,6 +26,8 @@
     ("crossed-wires", include_str!("../trials/crossed-wires.star")),
     ("room-used-up", include_str!("../trials/room-used-up.star")),
     ("old-disk", include_str!("../trials/old-disk.star")),
+    ("all-restarted", include_str!("../trials/all-restarted.star")),
+    ("steward-stalled", include_str!("../trials/steward-stalled.star")),
     ("lost-disk", include_str!("../trials/lost-disk.star")),
     ("granted-and-killed", include_str!("../trials/granted-and-killed.star")),
 ];
