The judge goes by what was agreed first when a member hears of its begin after a halt

The judge went by the member's word alone. A begin that stewards' history tells before the halt is none after it; without such an entry it is, so the planted member that goes by its grant alone is still found. Ruled out: a begin agreed after the halt (revision of the begin is the lower one).

--- a/crates/steward/tests/all/many_days.rs
+++ b/crates/steward/tests/all/many_days.rs
@@ -189,6 +189,15 @@
     println!("{begun} drains begun in {most} days");
 }
 
+/// 5, 1044, 3001: whole values could not be read back, and nothing was agreed any more. 50054: the judge took a begin for
+/// one after a halt because the member heard of it late.
+#[test]
+fn seeds_that_failed_once() {
+    for seed in [5, 1_044, 3_001, 50_054] {
+        play_all(seed..seed + 1);
+    }
+}
+
 #[test]
 fn one_seed() {
     let Some(seed) = std::env::var("SEED").ok().and_then(|s| s.parse().ok()) else { return };
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -42,6 +42,22 @@
     }
 }
 
+/// Whether stewards tell of this begin, and of no halt before it that stood then.
+fn agreed_before_halt(lines: &[Line], member: &str, grant: u64) -> bool {
+    let begin = format!("{member} began to drain, grant {grant}");
+    let told = |want: &dyn Fn(&str) -> bool| -> BTreeSet<u64> {
+        let at = lines.iter().filter_map(|l| match l {
+            Line::History { revision, what, .. } if want(what) => Some(*revision),
+            _ => None,
+        });
+        at.collect()
+    };
+    let (halts, resumes) = (told(&|w| w.starts_with("halt by")), told(&|w| w.starts_with("resumed by")));
+    let Some(begun) = told(&|w| w == begin).first().copied() else { return false };
+    let last = |all: &BTreeSet<u64>| all.range(..begun).next_back().copied().unwrap_or(0);
+    last(&halts) <= last(&resumes)
+}
+
 /// Each rule, with what breaks it.
 pub fn judge(lines: &[Line]) -> Vec<Verdict> {
     let mut broken: [Vec<String>; 6] = Default::default();
@@ -55,7 +71,9 @@
         match line {
             Line::Told { at_ns, member, incarnation, what, grant } => match what.as_str() {
                 "began" => {
-                    if let Some(since) = halted.filter(|since| at_ns > since) {
+                    // It may hear of its begin after the halt: what was agreed first began first.
+                    let agreed = || agreed_before_halt(lines, member, *grant);
+                    if let Some(since) = halted.filter(|since| at_ns > since && !agreed()) {
                         let late = (at_ns - since) / 1_000_000;
                         broken[2].push(format!("{member} began {late} ms after the halt was acknowledged"));
                     }
@@ -171,6 +189,15 @@
         assert_eq!(found(&[dead.clone(), next.clone()]), [0usize; 0], "nobody can know it so soon");
         assert_eq!(found(&[dead, told(1_100, "invoker-2", "began", 2)]), [1]);
         assert_eq!(found(&[asked(15, "halt"), next.clone()]), [2]);
+        let agreed = |revision, what: &str| Line::History { steward: 1, revision, what: what.into() };
+        let begun = agreed(5, "invoker-2 began to drain, grant 2");
+        let late = [asked(15, "halt"), next.clone(), begun];
+        assert_eq!(
+            found(&[&late[..], &[agreed(6, "halt by ada: x")]].concat()),
+            [0usize; 0],
+            "heard late of it"
+        );
+        assert_eq!(found(&[&late[..], &[agreed(4, "halt by ada: x")]].concat()), [2]);
         assert_eq!(found(&[asked(15, "halt"), asked(25, "resume"), next]), [0usize; 0]);
         assert_eq!(found(&[&one[..], &[told(30, "invoker-1", "began", 1)]].concat()), [3]);
         let history = |steward, what: &str| Line::History { steward, revision: 4, what: what.into() };
