A controller that drains ends once its answers are with the clients, not only made

Found on rereading: a drain was over when nothing was in flight, and the process then ended with whatever lay in its queues to slow readers: invocations without their one answer. What is unsent counts now, until the longest client timeout after the door was closed has passed, when nobody waits any more.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -114,7 +114,9 @@
             going: going.clone(),
             // Clients on their way hear of it before anything is throttled.
             lead: 2 * terms.deployment.drain_grace,
+            longest: terms.deployment.trigger_types.iter().map(|t| t.client_timeout).max().unwrap_or(0),
             closes: Rc::default(),
+            closed: Rc::default(),
         };
         (self.takes_part(member, about), Rc::new(part))
     }
@@ -153,6 +155,9 @@
     lead: Tenths,
     /// Which drain it is; one that was turned back closes no door later.
     closes: Rc<Cell<u64>>,
+    /// What lies unread by a client for longer than anybody waits is owed no more.
+    longest: Tenths,
+    closed: Rc<Cell<Option<tokio::time::Instant>>>,
 }
 
 impl Part for ControllerPart {
@@ -168,18 +173,22 @@
     fn drain(&self) {
         self.going.to(Step::LeadingAway);
         self.closes.set(self.closes.get() + 1);
-        let (mine, closes, going, lead) =
-            (self.closes.get(), self.closes.clone(), self.going.clone(), self.lead);
+        let (mine, closes, closed) = (self.closes.get(), self.closes.clone(), self.closed.clone());
+        let (going, lead) = (self.going.clone(), self.lead);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(Duration::from_micros(lead * 100)).await;
             if closes.get() == mine {
                 going.to(Step::Closed);
+                closed.set(Some(tokio::time::Instant::now()));
             }
         });
     }
 
     fn is_drained(&self) -> bool {
-        self.going.step() == Step::Closed && self.going.look().in_flight == 0
+        let look = self.going.look();
+        let longest = Duration::from_micros(self.longest * 100);
+        let given_up = self.closed.get().is_some_and(|at| at.elapsed() > longest);
+        self.going.step() == Step::Closed && look.in_flight == 0 && (look.unsent_bytes == 0 || given_up)
     }
 
     fn turn_back(&self) -> bool {
--- a/crates/controller/src/clients.rs
+++ b/crates/controller/src/clients.rs
@@ -131,6 +131,7 @@
         fewer: Notify::new(),
         cut: Notify::new(),
     });
+    let _sends = front.seat.going.sends(&client.outbox);
     let clock: Clock = front.clock;
     let read = Read::new(input, clock, front.turns.clone());
     let why = tokio::select! {
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -297,7 +297,9 @@
             front.see(|state| {
                 let r = &state.desk.reach;
                 let links_up = r.links.values().filter(|l| l.is_up()).count();
-                Look { in_flight: state.desk.in_flight(), links: r.links.len(), links_up, listed: r.listed }
+                let unsent_bytes = front.seat.going.unsent_bytes();
+                let in_flight = state.desk.in_flight();
+                Look { in_flight, unsent_bytes, links: r.links.len(), links_up, listed: r.listed }
             })
         })
     });
--- a/crates/controller/src/going.rs
+++ b/crates/controller/src/going.rs
@@ -1,7 +1,9 @@
 //! How a controller goes without leaving anybody waiting: clients are told first, then nothing new is taken, then what was
 //! taken is answered.
 
-use std::cell::RefCell;
+use saltdrum_link::Outbox;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::watch;
 
@@ -19,12 +21,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Look {
     pub in_flight: usize,
+    /// Answers that clients have not taken yet.
+    pub unsent_bytes: usize,
     pub links: usize,
     pub links_up: usize,
     /// Some list has told it all there is.
     pub listed: bool,
 }
 
+type Outboxes = Rc<RefCell<BTreeMap<u64, Outbox>>>;
+
 type Looks = Rc<RefCell<Option<Box<dyn Fn() -> Look>>>>;
 
 /// The handle on one controller's going. Whoever holds it may turn back at any step.
@@ -32,11 +38,26 @@
 pub struct Going {
     step: Rc<watch::Sender<Step>>,
     look: Looks,
+    outboxes: Outboxes,
+    clients: Rc<Cell<u64>>,
+}
+
+/// A client's answers count as unsent for as long as this is held.
+pub(crate) struct Sends {
+    outboxes: Outboxes,
+    client: u64,
+}
+
+impl Drop for Sends {
+    fn drop(&mut self) {
+        self.outboxes.borrow_mut().remove(&self.client);
+    }
 }
 
 impl Default for Going {
     fn default() -> Self {
-        Self { step: Rc::new(watch::channel(Step::Serving).0), look: Looks::default() }
+        let (look, outboxes, clients) = Default::default();
+        Self { step: Rc::new(watch::channel(Step::Serving).0), look, outboxes, clients }
     }
 }
 
@@ -54,6 +75,17 @@
         self.look.borrow().as_ref().map_or_else(Look::default, |look| look())
     }
 
+    pub(crate) fn sends(&self, outbox: &Outbox) -> Sends {
+        self.clients.set(self.clients.get() + 1);
+        let client = self.clients.get();
+        self.outboxes.borrow_mut().insert(client, outbox.clone());
+        Sends { outboxes: self.outboxes.clone(), client }
+    }
+
+    pub(crate) fn unsent_bytes(&self) -> usize {
+        self.outboxes.borrow().values().map(Outbox::waiting_bytes).sum()
+    }
+
     pub(crate) fn seen_by(&self, look: impl Fn() -> Look + 'static) {
         *self.look.borrow_mut() = Some(Box::new(look));
     }
--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -3,6 +3,7 @@
 
 use bytes::{Bytes, BytesMut};
 use saltdrum::port::*;
+use saltdrum_controller::going::{Going, Step};
 use saltdrum_controller::{Decides, Make, Seat, serve};
 use saltdrum_deployment::Terms;
 use saltdrum_link::{Address, Clock, Memory, Network, Stream};
@@ -163,11 +164,19 @@
 }
 
 fn played<F: Future<Output = ()>>(make: Make, play: impl FnOnce(Memory) -> F) {
+    played_in(make, |_| (), play);
+}
+
+fn played_in<F: Future<Output = ()>>(
+    make: Make,
+    change: impl FnOnce(&mut Seat),
+    play: impl FnOnce(Memory) -> F,
+) {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
     LocalSet::new().block_on(&runtime, async move {
         let (network, clock) = (Memory::default(), Clock::start());
-        let seat = Seat {
+        let mut seat = Seat {
             controller: 1,
             incarnation: 1,
             seed: 1,
@@ -179,6 +188,7 @@
             going: Default::default(),
             opens_when_ready: false,
         };
+        change(&mut seat);
         let handed: Rc<dyn Network> = Rc::new(network.clone());
         spawn_local(async move { serve(seat, handed, clock, make).await.unwrap() });
         play(network).await;
@@ -421,3 +431,82 @@
         assert!(!served[29], "settled and without it: it is gone");
     });
 }
+
+#[test]
+fn a_controller_that_goes_tells_its_clients_then_takes_nothing_new_and_answers_what_it_took() {
+    let going = Going::default();
+    let handle = going.clone();
+    played_in(
+        first,
+        |seat| seat.going = going,
+        |network| async move {
+            list_of(&network, &[]).await;
+            let (mut door, _) = network.listen(&at("invoker")).await.unwrap();
+            let (mut stream, mut read) = shaken(&mut door).await;
+            let mut client = Client::new(&network).await;
+            client.invoke(json!(1), 0.0, 2_000.0).await;
+            frame(&mut stream, &mut read).await.unwrap();
+            handle.to(Step::LeadingAway);
+            assert_eq!(client.hear().await["method"], "going");
+            let mut late = Client::new(&network).await;
+            assert_eq!(late.hear().await["method"], "going", "who comes now is told at once");
+            client.invoke(json!(2), 0.0, 2_000.0).await;
+            frame(&mut stream, &mut read).await.unwrap();
+            handle.to(Step::Closed);
+            client.invoke(json!(3), 0.0, 2_000.0).await;
+            let refused = client.hear().await;
+            assert_eq!((&refused["id"], &refused["error"]["data"]["going"]), (&json!(3), &json!(true)));
+            assert_eq!((handle.look().in_flight, handle.look().listed), (2, true));
+            for dispatch in [1, 2] {
+                stream.write_all(&answer(dispatch, Ended::Succeeded, "1")).await.unwrap();
+                assert_eq!(client.hear().await["id"], json!(dispatch));
+            }
+            assert_eq!((handle.look().in_flight, handle.look().unsent_bytes), (0, 0));
+            handle.to(Step::Serving);
+            client.invoke(json!(4), 0.0, 2_000.0).await;
+            frame(&mut stream, &mut read).await.unwrap();
+            stream.write_all(&answer(3, Ended::Succeeded, "1")).await.unwrap();
+            assert_eq!(client.hear().await["id"], json!(4), "it has turned back");
+        },
+    );
+}
+
+/// A process that ended with its last invocation took the answers along that lay in its queues.
+#[test]
+fn answers_that_a_client_has_not_taken_are_seen_and_end_with_it() {
+    let going = Going::default();
+    let handle = going.clone();
+    played_in(
+        first,
+        |seat| seat.going = going,
+        |network| async move {
+            a_moment().await;
+            let mut client = Client::new(&network).await;
+            for n in 0..3_000 {
+                client.say(&json!({"jsonrpc": "2.0", "id": n, "method": "status"}).to_string()).await;
+            }
+            a_moment().await;
+            assert!(handle.look().unsent_bytes > 0, "it reads nothing");
+            drop(client);
+            a_moment().await;
+            assert_eq!(handle.look().unsent_bytes, 0);
+        },
+    );
+}
+
+#[test]
+fn a_controller_among_others_lets_clients_in_once_invokers_can_be_reached() {
+    played_in(
+        first,
+        |seat| seat.opens_when_ready = true,
+        |network| async move {
+            let (mut door, _) = network.listen(&at("invoker")).await.unwrap();
+            a_moment().await;
+            assert!(network.dial(&at("clients")).await.is_err(), "no list, no door");
+            list_of(&network, &[]).await;
+            let _invoker = shaken(&mut door).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(network.dial(&at("clients")).await.is_ok());
+        },
+    );
+}
