What stewards make of silence is decided in the core; the whole majority says who speaks again

Found on rereading. (2) The loop waited for its own proposals (2 s without a majority), took that for a stall, forgot what it had heard and said nothing to the others: it waits for nobody now. (3) Only the leading steward's own line brought a lost member back, so one behind a bad line kept it lost for ever: a majority's level decides, at half of the level of suspicion. (4) The first sign after a stall was learned as a short span. (5) Members repeated a change until stewards had heard of it, a round each time: they wait for its revision. (6) A message with a whole fleet was parsed twice.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -15,15 +15,19 @@
     spans: VecDeque<f64>,
     /// Of renewals, as the member promised them.
     promised: f64,
+    /// Nobody listened since the last sign: the next one tells nothing of how long spans are.
+    deaf: bool,
 }
 
 impl Silence {
     pub fn new(now: u64, promised: u64) -> Self {
-        Self { last: now, spans: VecDeque::new(), promised: promised as f64 }
+        Self { last: now, spans: VecDeque::new(), promised: promised as f64, deaf: false }
     }
 
     pub fn heard(&mut self, now: u64) {
-        self.spans.push_back(now.saturating_sub(self.last) as f64);
+        if !std::mem::take(&mut self.deaf) {
+            self.spans.push_back(now.saturating_sub(self.last) as f64);
+        }
         if self.spans.len() > SPANS {
             self.spans.pop_front();
         }
@@ -32,7 +36,7 @@
 
     /// This steward stood still: what came meanwhile it could not hear, and it begins to listen anew.
     pub fn was_deaf(&mut self, now: u64) {
-        self.last = self.last.max(now);
+        (self.last, self.deaf) = (self.last.max(now), true);
     }
 
     pub fn since(&self, now: u64) -> u64 {
--- a/crates/fleet/tests/all/changes.rs
+++ b/crates/fleet/tests/all/changes.rs
@@ -7,7 +7,7 @@
 use saltdrum_fleet::register::Config;
 use std::collections::{BTreeMap, BTreeSet};
 
-fn bound(kind: Kind, out: u32) -> Bound {
+pub fn bound(kind: Kind, out: u32) -> Bound {
     Bound {
         kind: Some(kind),
         site: None,
@@ -19,7 +19,7 @@
     }
 }
 
-fn about(incarnation: u64, number: u32) -> About {
+pub fn about(incarnation: u64, number: u32) -> About {
     About {
         incarnation,
         site: if number.is_multiple_of(2) { "huye" } else { "kigali" }.into(),
@@ -39,7 +39,7 @@
 }
 
 /// All up, in their first life.
-fn with(members: u32, bounds: Vec<Bound>) -> Fleet {
+pub fn with(members: u32, bounds: Vec<Bound>) -> Fleet {
     let mut fleet = founded(bounds);
     for n in 1..=members {
         let member = MemberId::invoker(n);
@@ -49,7 +49,7 @@
     fleet
 }
 
-fn ask(id: &str, members: impl IntoIterator<Item = u32>) -> Change {
+pub fn ask(id: &str, members: impl IntoIterator<Item = u32>) -> Change {
     let members = members.into_iter().map(MemberId::invoker).collect();
     Change::Ask { id: id.into(), members, by: "them".into() }
 }
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! The register under every order, and under many drawn ones; the fleet's changes under chance.
 
+mod care;
 mod changes;
 mod every_order;
 mod many_orders;
--- a/crates/steward/src/member.rs
+++ b/crates/steward/src/member.rs
@@ -58,6 +58,8 @@
     news: Notify,
     /// The steward that answered last.
     good: Cell<usize>,
+    /// Revision of the last change that it had agreed: what stewards say of before tells nothing.
+    agreed: Cell<u64>,
 }
 
 impl Taking {
@@ -98,6 +100,7 @@
             match self.callers[at].call::<Changed>("change", &asked, PATIENCE).await {
                 Ok(done) => {
                     self.good.set(at);
+                    self.agreed.set(self.agreed.get().max(done.revision));
                     return Some(Ok(done));
                 }
                 Err(Fault::Told { code, message }) if code == REFUSED => return Some(Err(message)),
@@ -127,12 +130,12 @@
                 () = self.news.notified() => {}
                 () = self.clock.sleep_until(wait) => {}
             }
+            let standing = self.standing.borrow().clone().filter(|s| s.revision >= self.agreed.get());
             if let Some(grant) = draining {
                 if part.is_drained() {
                     return self.leave(part, grant).await;
                 }
-                let back = self.standing.borrow().as_ref().is_some_and(|s| s.turn_back);
-                if back && part.turn_back() {
+                if standing.is_some_and(|s| s.turn_back) && part.turn_back() {
                     // It serves again at once, and counts as out until this is agreed and it is proven.
                     let told = self.change(Change::TurnedBack { member, incarnation, grant }).await;
                     if matches!(told, Some(Ok(_))) {
@@ -142,7 +145,7 @@
                 }
                 continue;
             }
-            let Some(standing) = self.standing.borrow().clone() else { continue };
+            let Some(standing) = standing else { continue };
             match (standing.incarnation, standing.phase) {
                 (Some(known), Some(phase)) if known == incarnation => match phase {
                     Phase::Starting { .. } if part.is_proven() => {
@@ -213,6 +216,7 @@
         standing: RefCell::default(),
         news: Notify::new(),
         good: Cell::new(0),
+        agreed: Cell::new(0),
     });
     let mut renewing = tokio::task::JoinSet::new();
     for n in 0..taking.callers.len() {
--- a/crates/steward/src/service.rs
+++ b/crates/steward/src/service.rs
@@ -1,7 +1,6 @@
 //! A steward on its socket.
 
 use crate::caller::Caller;
-use crate::care::{Life, Peer, Since};
 use crate::disk::Disk;
 use crate::propose::Waiting;
 use crate::terms::FleetTerms;
@@ -12,14 +11,16 @@
 };
 use bytes::{Bytes, BytesMut};
 use saltdrum::port::{MILLI, SECOND, Tenths};
+use saltdrum_fleet::care::{Care, Spans};
 use saltdrum_fleet::change::Change;
-use saltdrum_fleet::fleet::{Fleet, MemberId};
+use saltdrum_fleet::fleet::Fleet;
 use saltdrum_fleet::next::{dry_run, waits_for};
 use saltdrum_fleet::register::{Acceptor, Ballot};
 use saltdrum_link::{Address, Clock, Half, Network, Outbox, Stream, halves};
 use saltdrum_protocol::rpc::{self, Call, Id, Line};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use serde_json::{Value as Json, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -61,14 +62,12 @@
     pub(crate) asked: Notify,
     pub(crate) news: watch::Sender<u64>,
     peers: RefCell<BTreeMap<u32, Rc<Caller>>>,
-    pub(crate) peers_said: RefCell<BTreeMap<u32, Peer>>,
+    pub(crate) care: RefCell<Care>,
+    /// What is owed was proposed, and not all of it has come to an end.
+    pub(crate) proposing: Cell<bool>,
     pub(crate) telling: RefCell<BTreeSet<u32>>,
     /// Who has told of a later value than this steward knows, and which.
     pub(crate) behind: Cell<Option<(u32, Ballot)>>,
-    pub(crate) lives: RefCell<BTreeMap<MemberId, Life>>,
-    pub(crate) listens_from: Cell<Tenths>,
-    pub(crate) since: RefCell<Since>,
-    pub(crate) late: RefCell<BTreeSet<(MemberId, u64)>>,
     /// When this steward first knew of an invoker's life: for its age on the list.
     pub(crate) first_seen: RefCell<BTreeMap<(u32, u64), Tenths>>,
     pub(crate) rng: RefCell<fastrand::Rng>,
@@ -88,7 +87,14 @@
     ) -> Rc<Self> {
         let booth = Booth::new(disk, acceptor, seat.founding.config.clone());
         let (news, _) = watch::channel(0);
-        let listens_from = clock.now() + 4 * seat.terms.renew;
+        let spans = Spans {
+            renew: seat.terms.renew,
+            suspect_level: seat.terms.suspect_level,
+            grant_for: seat.terms.grant_for,
+            drain_for: seat.terms.drain_for,
+            prove_within: seat.terms.prove_within,
+        };
+        let care = Care::new(clock.now(), booth.me(), spans);
         let rng = fastrand::Rng::with_seed(seat.seed);
         Rc::new(Self {
             seat,
@@ -102,13 +108,10 @@
             asked: Notify::new(),
             news,
             peers: RefCell::default(),
-            peers_said: RefCell::default(),
+            care: RefCell::new(care),
+            proposing: Cell::default(),
             telling: RefCell::default(),
             behind: Cell::default(),
-            lives: RefCell::default(),
-            listens_from: Cell::new(listens_from),
-            since: RefCell::default(),
-            late: RefCell::default(),
             first_seen: RefCell::default(),
             rng: RefCell::new(rng),
         })
@@ -248,7 +251,7 @@
 
     /// What was asked, if it was asked of this fleet in these messages.
     fn said<T: DeserializeOwned>(&self, call: &Call) -> Result<T, Refused> {
-        let said: Said<Json> =
+        let said: Said<&RawValue> =
             serde_json::from_str(call.params.as_ref().map_or("{}", |p| p.get())).map_err(bad)?;
         if said.speaks != SPEAKS {
             return Err((STRANGER, format!("messages of version {}: {SPEAKS} is expected", said.speaks)));
@@ -257,7 +260,8 @@
             let mine = &self.seat.founding.name;
             return Err((STRANGER, format!("fleet '{}': this is a steward of '{mine}'", said.fleet)));
         }
-        serde_json::from_value(said.what).map_err(bad)
+        // Read where it lies: a whole fleet may be in it.
+        serde_json::from_str(said.what.get()).map_err(bad)
     }
 
     async fn answer(self: &Rc<Self>, call: &Call) -> Result<String, Refused> {
@@ -316,10 +320,12 @@
     fn status(&self) -> Json {
         let booth = self.booth.borrow();
         let fleet = self.fleet.borrow();
+        let heard = self.care.borrow().heard_ago(self.clock.now()).into_iter();
+        let heard_ms_ago: BTreeMap<_, _> = heard.map(|(id, ago)| (id, ago / MILLI)).collect();
         json!({
             "steward": self.seat.number, "voter": booth.me().to_string(), "life": self.seat.life,
             "votes": !booth.is_returning() && booth.is_writable(), "writes": booth.writes(),
-            "settled": self.is_settled(), "heard_ms_ago": self.heard_ms_ago(), "waits_for": fleet.as_ref().and_then(|f| waits_for(f)),
+            "settled": self.is_settled(), "heard_ms_ago": heard_ms_ago, "waits_for": fleet.as_ref().and_then(|f| waits_for(f)),
             "fleet": fleet.as_deref(),
         })
     }
@@ -368,7 +374,7 @@
         tasks.spawn_local(steward.clone().serve_list(door));
     }
     tasks.spawn_local(steward.clone().propose());
-    tasks.spawn_local(steward.clone().care());
+    tasks.spawn_local(steward.clone().look_around());
     let mut coming_back = Box::pin(steward.clone().come_back());
     let mut back = false;
     loop {
