Trials judge bounds for each site, cell and share, not for whole kinds alone

Found on rereading: a bound per site or by share gave the judge nothing to hold a trial to, so it could not fail there. Groups are made of the script. Bounds by size and memory are still not judged in trials (docs).

--- a/crates/steward/tests/all/world.rs
+++ b/crates/steward/tests/all/world.rs
@@ -152,12 +152,8 @@
         let callers =
             (1..=STEWARDS).map(|n| Caller::new(operator.clone(), at(&format!("steward-{n}")), "museums"));
         let detect_ns = 8_000_000_000;
-        let bound = Line::Bound {
-            kind: "invoker".into(),
-            out: size.bound as usize,
-            members: size.invokers as usize,
-            detect_ns,
-        };
+        let members = (1..=size.invokers).map(|n| format!("invoker-{n}")).collect();
+        let bound = Line::Bound { group: "invokers".into(), members, out: size.bound as usize, detect_ns };
         Rc::new(Self {
             clock,
             size,
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -83,26 +83,25 @@
                     }
                     out.planned.insert(member.clone());
                     for b in lines {
-                        let Line::Bound { kind, out: most, members, detect_ns } = b else { continue };
-                        if !member.starts_with(kind.as_str()) {
+                        let Line::Bound { group, members, out: most, detect_ns } = b else { continue };
+                        if !members.contains(member) {
                             continue;
                         }
-                        let of = |m: &&String| m.starts_with(kind.as_str());
-                        let planned = out.planned.iter().filter(of).count();
+                        let planned = out.planned.iter().filter(|m| members.contains(m)).count();
                         if planned > *most {
                             broken[0].push(format!(
-                                "{member} began with {planned} of {members} {kind}s out by plan: {most} is the bound"
+                                "{member} began with {planned} of {group} out by plan: {most} is the bound"
                             ));
                         }
                         let known = |(m, since): &(&String, &u64)| {
-                            m.starts_with(kind.as_str())
+                            members.contains(m)
                                 && !out.planned.contains(*m)
                                 && at_ns.saturating_sub(**since) > *detect_ns
                         };
                         let dead = out.dead.iter().filter(known).count();
                         if planned + dead > *most {
                             broken[1].push(format!(
-                                "{member} began with {planned} {kind}s out by plan and {dead} long dead: {most} is the bound"
+                                "{member} began with {planned} of {group} out by plan and {dead} long dead: {most} is the bound"
                             ));
                         }
                     }
@@ -169,7 +168,8 @@
     }
 
     fn found(lines: &[Line]) -> Vec<usize> {
-        let bound = Line::Bound { kind: "invoker".into(), out: 1, members: 4, detect_ns: 1_000 * MS };
+        let members = (1..=4).map(|n| format!("invoker-{n}")).collect();
+        let bound = Line::Bound { group: "invokers".into(), members, out: 1, detect_ns: 1_000 * MS };
         let all: Vec<Line> = [bound].into_iter().chain(lines.iter().cloned()).collect();
         let verdicts = judge(&all);
         (0..RULES.len()).filter(|n| !verdicts[*n].broken.is_empty()).collect()
--- a/crates/trial/src/record.rs
+++ b/crates/trial/src/record.rs
@@ -6,8 +6,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "line", rename_all = "kebab-case")]
 pub enum Line {
-    /// At most so many of the kind may be out. `detect_ns`: a loss is known to all after that.
-    Bound { kind: String, out: usize, members: usize, detect_ns: u64 },
+    /// At most so many of these may be out. `detect_ns`: a loss is known to all after that.
+    Bound { group: String, members: Vec<String>, out: usize, detect_ns: u64 },
     /// By a member's process, of itself: `began`, `drained`, `turned-back`, `up`, `replaced`.
     Told { at_ns: u64, member: String, incarnation: u64, what: String, grant: u64 },
     /// By the trial: a process was started.
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -2,8 +2,11 @@
 
 use saltdrum_deployment::units::Span;
 use saltdrum_deployment::{Fault, Statement, Terms, script};
+use saltdrum_fleet::bounds::Per;
+use saltdrum_fleet::fleet::Kind;
 use saltdrum_steward::FleetTerms;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 pub struct Trial {
@@ -185,6 +188,39 @@
         stewards.chain(controllers).chain(invokers).collect()
     }
 
+    /// Each bound by number or share, for each group that it is counted for: its name, its members, how many may be out.
+    pub fn bounds(&self) -> Vec<(String, Vec<String>, usize)> {
+        let zone = |zone: u8| self.terms.zones.get(usize::from(zone)).cloned().unwrap_or_default();
+        // Controllers are started without a zone, which is the first.
+        let controllers =
+            (1..=self.controllers).map(|n| (format!("controller-{n}"), Kind::Controller, zone(0), 0));
+        let invokers = &self.terms.invokers;
+        let invokers =
+            invokers.iter().map(|i| (format!("invoker-{}", i.invoker), Kind::Invoker, zone(i.zone), i.cell));
+        let all: Vec<_> = controllers.chain(invokers).collect();
+        let mut told = Vec::new();
+        for b in &self.fleet.bounds {
+            let mut groups = BTreeMap::<(String, u16), Vec<String>>::new();
+            for (name, kind, site, cell) in &all {
+                if b.kind.is_some_and(|k| k != *kind) || b.site.as_ref().is_some_and(|s| s != site) {
+                    continue;
+                }
+                let group = match b.per {
+                    Per::Fleet => (String::new(), 0),
+                    Per::Site => (site.clone(), 0),
+                    Per::Cell => (site.clone(), *cell),
+                };
+                groups.entry(group).or_default().push(name.clone());
+            }
+            for ((site, cell), members) in groups {
+                let share = b.share.map(|s| (s * members.len() as f64 + 1e-9) as usize);
+                let Some(out) = b.out.map(|o| o as usize).into_iter().chain(share).min() else { continue };
+                told.push((format!("{:?} {site} {cell}", b.kind), members, out));
+            }
+        }
+        told
+    }
+
     fn step(&self, s: &Statement) -> Result<Step, Fault> {
         let said: SaidStep = s.read()?;
         let known = self.processes();
@@ -231,3 +267,21 @@
         Ok(Step { what, of: said.of, place: s.place.clone() })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A bound for each site was not judged at all.
+    #[test]
+    fn bounds_are_judged_for_each_group_that_they_are_counted_for() {
+        let text = include_str!("../trials/one-drain.star").replace(
+            "bound(kind = \"invoker\", out = 1)",
+            "bound(kind = \"invoker\", per = \"site\", share = 0.5)\nbound(site = \"huye\", out = 1)",
+        );
+        let trial = Trial::load("t.star", &text).unwrap();
+        let told: Vec<(usize, usize)> = trial.bounds().iter().map(|(_, m, out)| (m.len(), *out)).collect();
+        assert_eq!(told, [(2, 1), (2, 1), (2, 1), (2, 1)], "each site, then huye, then controllers");
+        assert_eq!(trial.bounds()[2].1, ["invoker-3", "invoker-4"]);
+    }
+}
--- a/crates/trial/src/stage.rs
+++ b/crates/trial/src/stage.rs
@@ -80,14 +80,9 @@
 
     async fn played(self: Rc<Self>) -> Result<(), String> {
         std::fs::write(self.at("trial.star"), &self.trial.text).map_err(|e| e.to_string())?;
-        for b in &self.trial.fleet.bounds {
-            let kind = b.kind.map(|k| serde_json::to_value(k).unwrap_or_default());
-            let kind = kind.and_then(|k| k.as_str().map(str::to_owned)).unwrap_or_default();
-            if let Some(out) = b.out {
-                let detect_ns = self.trial.detect_ms * 1_000_000;
-                let members = self.trial.processes().iter().filter(|p| p.starts_with(&kind)).count();
-                self.note(Line::Bound { kind, out: out as usize, members, detect_ns });
-            }
+        for (group, members, out) in self.trial.bounds() {
+            let detect_ns = self.trial.detect_ms * 1_000_000;
+            self.note(Line::Bound { group, members, out, detect_ns });
         }
         let watched = self.clone();
         tokio::task::spawn_local(async move {
