A member tells that it serves when it does, not when it hears that this was agreed

The word is told when the member asks to be proven, as it serves from then on, and again after it was lost or turned back.

--- a/crates/steward/src/member.rs
+++ b/crates/steward/src/member.rs
@@ -122,7 +122,7 @@
 
     async fn steps(&self, part: &dyn Part) -> Ended {
         let (member, incarnation) = (self.with.member, self.with.about.incarnation);
-        let mut draining = None;
+        let (mut draining, mut serving) = (None, false);
         loop {
             let wait = self.clock.now() + self.with.renew.min(100 * MILLI);
             tokio::select! {
@@ -139,6 +139,7 @@
                     // It serves again at once, and counts as out until this is agreed and it is proven.
                     let told = self.change(Change::TurnedBack { member, incarnation, grant }).await;
                     if matches!(told, Some(Ok(_))) {
+                        serving = false;
                         part.told("turned-back", grant);
                         draining = None;
                     }
@@ -149,9 +150,11 @@
             match (standing.incarnation, standing.phase) {
                 (Some(known), Some(phase)) if known == incarnation => match phase {
                     Phase::Starting { .. } if part.is_proven() => {
-                        if let Some(Ok(_)) = self.change(Change::Proven { member, incarnation }).await {
+                        // It serves from here on, whenever the fleet has agreed on that and it hears so.
+                        if !std::mem::replace(&mut serving, true) {
                             part.told("up", 0);
                         }
+                        self.change(Change::Proven { member, incarnation }).await;
                     }
                     Phase::Granted { grant } => {
                         match self.change(Change::Begin { member, incarnation, grant }).await {
@@ -172,6 +175,7 @@
                             part.drain();
                         }
                     }
+                    Phase::Lost { .. } => serving = false,
                     _ => {}
                 },
                 _ => {
--- a/crates/steward/tests/all/many_days.rs
+++ b/crates/steward/tests/all/many_days.rs
@@ -190,10 +190,11 @@
 }
 
 /// 5, 1044, 3001: whole values could not be read back, and nothing was agreed any more. 50054: the judge took a begin for
-/// one after a halt because the member heard of it late.
+/// one after a halt because the member heard of it late. 15036: a member that never heard that it was agreed to be up again
+/// stayed out for the judge.
 #[test]
 fn seeds_that_failed_once() {
-    for seed in [5, 1_044, 3_001, 50_054] {
+    for seed in [5, 1_044, 3_001, 15_036, 50_054] {
         play_all(seed..seed + 1);
     }
 }
