Ends, closes and used lines leave nothing to chance: what was read in one turn is not cut off

Read in the code: a client's writer that ended was polled again (panic), a connection chosen to be closed was still read from, 'left' was told after up to 300 ms of last words, the end did not look at what lay in the machine, a used line could read a late second answer as the next request's, two silences of the feed in a row were 4.8 s. Changed: clients.rs attend/listen/farewell/room, life.rs leave, reach.rs rest and epoch of lines, feed.rs patience by whole frames.

--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -345,8 +345,7 @@
     pub fn left(&mut self, id: InvId) {
         let desk = &mut self.desk;
         let Some(inv) = desk.invs.get_mut(&id) else { return };
-        inv.owed = None;
-        desk.counts.left += 1;
+        desk.counts.left += u64::from(inv.owed.take().is_some());
         let out: Vec<(u8, InvokerId, u64)> =
             inv.out.iter().map(|(hop, o)| (*hop, o.invoker, o.dispatch)).collect();
         for (hop, invoker, dispatch) in out {
@@ -362,6 +361,18 @@
         self.desk.forget_ended(id);
     }
 
+    /// The process ends: what is still owed is answered at once, as nobody will answer it later. Gives how many.
+    pub fn end(&mut self) -> usize {
+        let owed = |(id, inv): (&InvId, &Inv<R>)| inv.owed.is_some().then_some((*id, inv.hops == 0));
+        let owed: Vec<(InvId, bool)> = self.desk.invs.iter().filter_map(owed).collect();
+        for (id, never_sent) in &owed {
+            let how = if *never_sent { Final::Throttled(0) } else { Final::Errored("the controller ends") };
+            self.desk.answer(*id, how);
+            self.left(*id);
+        }
+        owed.len()
+    }
+
     /// One dispatch has ended: the client hears of a success, the module of everything.
     pub fn ended(&mut self, id: InvId, hop: u8, outcome: Outcome, told: &Told) {
         let desk = &mut self.desk;
--- a/crates/link/src/turns.rs
+++ b/crates/link/src/turns.rs
@@ -39,6 +39,12 @@
         })
     }
 
+    /// The machine was last asked what has come no earlier than this: what came before is known to its reader, or was
+    /// queued for it before whatever asks now.
+    pub fn looked(&self) -> Tenths {
+        if self.before.get() == 0 { 0 } else { self.before.get() + TURN_EVERY }
+    }
+
     /// Said by a stream that knows when the bytes it just gave were written. Only an emulated one does, and only to
     /// those who judge: a process can't know it.
     pub fn written(&self, at: Tenths) {
@@ -112,6 +118,17 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_came_before_the_last_turn_but_one_has_been_asked_for() {
+        let turns = Turns::default();
+        turns.turn(1_000);
+        assert_eq!(turns.looked(), 0);
+        turns.turn(1_100);
+        assert_eq!(turns.looked(), 1_100);
+        turns.turn(9_000);
+        assert_eq!(turns.looked(), 1_200, "it stood still: what came meanwhile may not have been asked for");
+    }
+
     #[test]
     fn what_was_read_after_a_stop_may_have_come_when_it_began() {
         let turns = Turns::default();
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 use tracing::{debug, info, info_span, warn};
 
@@ -29,8 +30,11 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(200);
 /// In rounds of the sweep.
 const BELIEFS_EVERY: u64 = 5;
-/// For the last words to a client that is cut off.
+/// For the last words to a client whose connection ends, and for it to have read them.
 const LAST_WORDS: Duration = Duration::from_millis(300);
+/// What of a client is read and thrown away while its connection ends: bytes that lie unread at a close make the kernel
+/// reset it, and a reset destroys the answers that are still on their way.
+const DISCARDED_MOST: usize = 256 << 10;
 const ANY_TIME: Tenths = Tenths::MAX;
 /// Where a refusal is for want of room, the wait that is advised.
 const FULL_COME_BACK_MS: u64 = 100;
@@ -45,8 +49,12 @@
     active: Cell<Option<Tenths>>,
     partial_since: Cell<Option<Tenths>>,
     cut: Notify,
-    /// It was cut off, and its last words are on their way.
+    /// Its connection is to end: nothing more is taken on it, and its last words are on their way.
     closing: Cell<bool>,
+    /// Its place is needed: no more time for last words.
+    hurried: Cell<bool>,
+    /// It was told to bring nothing new.
+    told_away: Cell<bool>,
 }
 
 impl Client {
@@ -55,9 +63,16 @@
         self.cut.notify_one();
     }
 
+    /// Who does not read what it asked for is cut off.
     fn put(&self, frame: bytes::Bytes, until: Tenths) {
         if self.outbox.put(frame, until).is_none() {
-            self.cut.notify_one();
+            self.cut_off();
+        }
+    }
+
+    fn go_away(&self) {
+        if !self.told_away.replace(true) {
+            self.put(frames::go_away(), ANY_TIME);
         }
     }
 
@@ -80,6 +95,11 @@
     all: RefCell<BTreeMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     txns: Rc<RefCell<BTreeSet<u64>>>,
+    /// Frames read, of all clients.
+    frames: Cell<u64>,
+    /// Told to end: no client is to bring anything new.
+    ending: Cell<bool>,
+    shut: Notify,
 }
 
 impl Clients {
@@ -91,20 +111,49 @@
 
     /// Asks all to bring nothing new on these connections.
     pub fn go_away(&self) {
-        self.all.borrow().values().for_each(|c| c.put(frames::go_away(), ANY_TIME));
+        self.ending.set(true);
+        self.all.borrow().values().for_each(|c| c.go_away());
+    }
+
+    /// Lets in who waits at the door, then shuts it.
+    pub fn shut(&self) {
+        self.shut.notify_one();
     }
 
-    /// Whether answers wait to leave.
-    pub fn are_owed_bytes(&self) -> bool {
-        self.all.borrow().values().any(|c| c.outbox.waiting_bytes() > 0)
+    /// Whether answers wait to leave, or a request has come in part.
+    pub fn are_under_way(&self) -> bool {
+        let half = |c: &Client| c.partial_since.get().is_some() && !c.closing.get();
+        self.all.borrow().values().any(|c| c.outbox.waiting_bytes() > 0 || half(c))
     }
 
-    /// Makes room for one more: of those with nothing open, the one idle longest goes.
+    pub fn frames(&self) -> u64 {
+        self.frames.get()
+    }
+
+    /// Ends all connections, each once what it is owed has left.
+    pub fn close(&self) {
+        for client in self.all.borrow().values() {
+            client.closing.set(true);
+            client.outbox.close();
+        }
+    }
+
+    pub fn are_gone(&self) -> bool {
+        self.all.borrow().is_empty()
+    }
+
+    /// Makes room for one more: who is going anyway goes at once; else, of those with nothing open, the one idle
+    /// longest goes.
     fn room(&self, most: usize) -> bool {
         let all = self.all.borrow();
         if all.len() < most {
             return true;
         }
+        if let Some(going) = all.values().find(|c| c.closing.get() && !c.hurried.get()) {
+            going.hurried.set(true);
+            going.cut.notify_one();
+            return true;
+        }
         let idle = all.values().filter(|c| !c.closing.get());
         let idle = idle.filter_map(|c| Some((c.active.get().is_some(), c.idle_since()?, c)));
         match idle.min_by_key(|(spoke, since, _)| (*spoke, *since)) {
@@ -153,7 +202,13 @@
 /// Takes in clients for as long as the controller lives.
 pub(crate) async fn receive(front: Rc<Front>, mut door: Box<dyn Listener>) {
     loop {
-        match door.accept().await {
+        let came = tokio::select! {
+            // Who came before the door shuts is let in: the machine has accepted it already.
+            biased;
+            came = door.accept() => came,
+            () = front.seat.clients.shut.notified() => return,
+        };
+        match came {
             Ok(stream) => {
                 if front.seat.clients.room(front.seat.budget.clients) {
                     drop(tokio::task::spawn_local(attend(front.clone(), stream)));
@@ -188,6 +243,7 @@
 
 async fn attend(front: Rc<Front>, stream: Stream) {
     let (input, mut output) = halves(stream);
+    let mut end = output.clone();
     let clock = front.clock;
     let client = Rc::new(Client {
         outbox: Outbox::new(ANSWERS_MOST_BYTES),
@@ -198,53 +254,93 @@
         partial_since: Cell::new(None),
         cut: Notify::new(),
         closing: Cell::new(false),
+        hurried: Cell::new(false),
+        told_away: Cell::new(false),
     });
     let clients = &front.seat.clients;
     let number = clients.last.get() + 1;
     clients.last.set(number);
     clients.all.borrow_mut().insert(number, client.clone());
-    let read = Read::new(input, clock, front.turns.clone());
-    let why = {
+    let mut read = Read::new(input, clock, front.turns.clone());
+    {
         let write = client.outbox.write_to(&mut output, || clock.now(), |_| ());
         let mut write = std::pin::pin!(write);
+        let mut wrote = None;
         let why = tokio::select! {
+            // Before it reads: what comes in the turn in which a connection was chosen to end is not taken, as its client
+            // may bring it again on a new one.
             biased;
-            why = listen(&front, &client, read) => why,
-            done = &mut write => match done {
-                Ok(()) => None,
-                Err(e) => { debug!(%e, "a client is gone"); None }
-            },
             () = client.cut.notified() => {
                 // Only what it left unfinished is worth a word: silence ends in silence.
                 client.partial_since.get().map(|_| "a frame that does not end".to_owned())
             }
+            why = listen(&front, &client, &mut read) => why,
+            done = &mut write => { wrote = Some(done); None }
         };
+        // First of all: nothing more is sent on for who has left, however long its last words take.
+        client.closing.set(true);
+        let open: Vec<InvId> = client.open.borrow().values().copied().collect();
         if let Some(why) = &why {
+            info!(why, open = open.len(), "a client is cut off");
             client.put(frames::answer(0, Code::Errored, None, why.as_bytes()), ANY_TIME);
         }
-        // What was answered before goes out too.
+        for id in open {
+            front.tell(|state| state.left(id));
+        }
+        // What was answered before goes out too, and has a moment to arrive. A writer that has ended is not asked again.
         client.outbox.close();
-        let _ = tokio::time::timeout(LAST_WORDS, write).await;
-        why
-    };
+        let last_words = async {
+            let wrote = match wrote {
+                Some(done) => done,
+                None => write.await,
+            };
+            if let Err(e) = wrote {
+                return debug!(%e, "a client is gone");
+            }
+            if client.active.get().is_some() || why.is_some() {
+                farewell(&mut end, &mut read).await;
+            }
+        };
+        let hurried = async {
+            while !client.hurried.get() {
+                client.cut.notified().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            _ = tokio::time::timeout(LAST_WORDS, last_words) => {}
+            () = hurried => {}
+        }
+    }
     clients.all.borrow_mut().remove(&number);
-    let open: Vec<InvId> = client.open.borrow().values().copied().collect();
-    if let Some(why) = why {
-        info!(why, open = open.len(), "a client is cut off");
+}
+
+/// Says that nothing more comes, and waits until the client has ended the connection too: then it has read all.
+async fn farewell(end: &mut Half, read: &mut Read<Half>) {
+    if end.shutdown().await.is_err() {
+        return;
     }
-    for id in open {
-        front.tell(|state| state.left(id));
+    let mut discarded = read.bytes.len();
+    while discarded < DISCARDED_MOST {
+        read.bytes.clear();
+        match read.more().await {
+            Ok(Some(_)) => discarded += read.bytes.len(),
+            Ok(None) | Err(_) => return,
+        }
     }
 }
 
 /// Reads frames until the client leaves (`None`), or says why it is cut off.
-async fn listen(front: &Rc<Front>, client: &Rc<Client>, mut read: Read<Half>) -> Option<String> {
+async fn listen(front: &Rc<Front>, client: &Rc<Client>, read: &mut Read<Half>) -> Option<String> {
     loop {
         let earliest = match read.more().await {
             Ok(Some(earliest)) => earliest,
             Ok(None) | Err(_) => return None,
         };
         loop {
+            if client.closing.get() {
+                return None;
+            }
             match frames::cut(&mut read.bytes) {
                 Ok(None) => break,
                 Ok(Some(frame)) => {
@@ -273,10 +369,14 @@
     frame: FromClient,
     earliest: Tenths,
 ) -> Result<(), Malformed> {
+    let clients = &front.seat.clients;
+    clients.frames.set(clients.frames.get() + 1);
     client.active.set(Some(front.clock.now()));
     client.partial_since.set(None);
     match frame {
-        FromClient::AskReady { stream } => client.put(frames::readiness(stream, true), ANY_TIME),
+        FromClient::AskReady { stream } => {
+            client.put(frames::readiness(stream, !clients.ending.get()), ANY_TIME);
+        }
         FromClient::Left { stream } => {
             let id = client.open.borrow().get(&stream).copied();
             if let Some(id) = id {
@@ -304,6 +404,10 @@
                 debug!(why, "an invocation that can't be taken");
                 client.put(frames::answer(stream, Code::Errored, None, why.as_bytes()), ANY_TIME);
             }
+            // Who came after SIGTERM came for this one: it hears so only now, or it would take it elsewhere.
+            if clients.ending.get() {
+                client.go_away();
+            }
         }
     }
     Ok(())
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -12,8 +12,11 @@
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
-/// An empty frame comes each second: two that fail to come are a silence.
-const SILENT: Duration = Duration::from_millis(2_200);
+/// An empty frame comes each second. What the feed would have told counts as told 4 s after it fell silent: by then a
+/// second connection, should the first after a silence be silent as well, must have been followed.
+const SILENT: Duration = Duration::from_millis(1_600);
+/// The first frame comes within a second of asking.
+const SILENT_FIRST: Duration = Duration::from_millis(1_200);
 const DIAL_WITHIN: Duration = Duration::from_millis(500);
 /// A lost feed is dialled again after a wait drawn up to a bound that doubles; all controllers lose it at once.
 const WAIT_FIRST: Tenths = 100 * MILLI;
@@ -76,6 +79,8 @@
         return e.to_string();
     }
     let mut read = BytesMut::new();
+    // Only whole frames break a silence: one that comes byte by byte tells nothing.
+    let mut due = front.clock.instant(front.clock.now()) + SILENT_FIRST;
     loop {
         match cut(&mut read) {
             Err(e) => return e.to_string(),
@@ -83,12 +88,13 @@
                 if let Err(why) = hear(front, number, &event) {
                     return why;
                 }
+                due = front.clock.instant(front.clock.now()) + SILENT;
                 continue;
             }
             Ok(None) => {}
         }
         read.reserve(READ_BYTES);
-        match tokio::time::timeout(SILENT, stream.read_buf(&mut read)).await {
+        match tokio::time::timeout_at(due, stream.read_buf(&mut read)).await {
             Err(_) => return "silent".into(),
             Ok(Ok(0)) => return "hung up".into(),
             Ok(Ok(_)) => {}
@@ -101,6 +107,10 @@
 pub(crate) fn hear(front: &Front, number: u64, event: &Event) -> Result<(), String> {
     let last = &front.seat.feed.last;
     let (whole, lines) = match event {
+        // It carries the number of the last event: a later one than ours was never told us.
+        Event::Nothing if number > last.get() => {
+            return Err(format!("events to {number} after {}: they were expected before", last.get()));
+        }
         Event::Nothing => return Ok(()),
         // Written twice: heard once.
         _ if number <= last.get() => return Ok(()),
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -14,15 +14,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 use tracing::{info, warn};
 
 /// For so long after SIGTERM invocations still come, on connections old and new.
 const STILL_COME: Duration = Duration::from_millis(800);
 /// How often it is looked whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
-/// Longer than this after the longest client timeout nobody waits any more.
-const OVER: Duration = Duration::from_millis(500);
+/// The platform kills what was told to end no sooner than the longest client timeout, counted as this where it is longer,
+/// and so much more after it.
+const KILLED_AFTER_MOST: Duration = Duration::from_secs(3);
+const KILLED_AFTER_MORE: Duration = Duration::from_millis(700);
+/// Kept of that for the last answers' way, and for a signal that was heard late.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// What was answered has so long to arrive before the process ends: a little more than one client's last words.
+const ARRIVES: Duration = Duration::from_millis(400);
 
 /// Why a controller can't be started.
 #[derive(Debug, thiserror::Error)]
@@ -80,7 +86,7 @@
 pub async fn serve(life: Life, network: Rc<dyn Network>, clock: Clock, make: Make) -> Result<(), Failure> {
     let mut reloads = signal(SignalKind::hangup()).map_err(Failure::Signals)?;
     let mut ends = signal(SignalKind::terminate()).map_err(Failure::Signals)?;
-    let (front, taking_in) = start(read(&life)?, life.unix_ms, network, clock, make).await?;
+    let front = start(read(&life)?, life.unix_ms, network, clock, make).await?;
     loop {
         tokio::select! {
             biased;
@@ -98,20 +104,20 @@
     };
     tokio::select! {
         biased;
-        () = leave(&front, taking_in) => {}
+        () = leave(&front) => {}
         () = signals => {}
     }
     Ok(())
 }
 
-/// Puts a controller up: it knows its list before it listens. Gives what takes clients in.
+/// Puts a controller up: it knows its list before it listens.
 pub(crate) async fn start(
     config: Config,
     unix_ms: u64,
     network: Rc<dyn Network>,
     clock: Clock,
     make: Make,
-) -> Result<(Rc<Front>, AbortHandle), Failure> {
+) -> Result<Rc<Front>, Failure> {
     let (now, d) = (clock.now(), config.deployment);
     let budget = Budget::of(&config.limits);
     info!(name = config.name, ?budget, controllers = d.controllers, "starts");
@@ -150,8 +156,8 @@
     spawn_local(clients::sweep(front.clone()));
     let timers = front.clone();
     spawn_local(async move { timers.run_timers().await });
-    let taking_in = spawn_local(clients::receive(front.clone(), door)).abort_handle();
-    Ok((front, taking_in))
+    spawn_local(clients::receive(front.clone(), door));
+    Ok(front)
 }
 
 /// A file that is bad or half-written changes nothing.
@@ -171,21 +177,46 @@
 }
 
 /// Takes what still comes, answers all that was taken, then ends.
-pub(crate) async fn leave(front: &Rc<Front>, taking_in: AbortHandle) {
+pub(crate) async fn leave(front: &Rc<Front>) {
+    let clients = &front.seat.clients;
     let longest = front.seat.deployment.trigger_types.iter().map(|t| t.client_timeout).max().unwrap_or(0);
+    let killed = Duration::from_micros(longest * 100).min(KILLED_AFTER_MOST) + KILLED_AFTER_MORE;
     info!("told to end: takes what still comes, then answers the rest");
-    front.seat.clients.go_away();
+    clients.go_away();
     let answered = async {
         tokio::time::sleep(STILL_COME).await;
-        taking_in.abort();
-        let owed = || front.see(|state| state.desk.owing()) > 0 || front.seat.clients.are_owed_bytes();
-        while owed() {
+        clients.shut();
+        while !is_quiet(front).await {}
+    };
+    match tokio::time::timeout(killed.saturating_sub(LAST_ANSWERS).max(STILL_COME), answered).await {
+        Ok(()) => info!("all is answered: ends"),
+        Err(_) => {
+            let owed = front.tell(|state| state.end());
+            warn!(owed, "ends before all is settled: the rest is answered now");
+        }
+    }
+    clients.close();
+    let arrived = async {
+        while !clients.are_gone() {
             tokio::time::sleep(LOOK).await;
         }
     };
-    let over = Duration::from_micros(longest * 100) + STILL_COME + OVER;
-    match tokio::time::timeout(over, answered).await {
-        Ok(()) => info!("all is answered: ends"),
-        Err(_) => warn!("ends with answers owed that nobody waits for"),
+    if tokio::time::timeout(ARRIVES, arrived).await.is_err() {
+        warn!("ends with answers that nobody reads");
+    }
+}
+
+/// Whether nothing is owed, nothing waits to leave, and nothing has come meanwhile. A request may lie in the machine, on
+/// a connection old or new, with nothing owed yet: so this takes a look of the machine at all sockets, and a turn of
+/// whoever has something to read, before it says so.
+async fn is_quiet(front: &Rc<Front>) -> bool {
+    let clients = &front.seat.clients;
+    let before = clients.frames();
+    // The machine is asked before a sleep ends, and whoever it wakes is queued before the task that follows.
+    tokio::time::sleep(LOOK).await;
+    for _ in 0..2 {
+        let _ = spawn_local(async {}).await;
     }
+    let owed = front.see(|state| state.desk.owing()) > 0;
+    !owed && !clients.are_under_way() && clients.frames() == before
 }
--- a/crates/platform/src/reach.rs
+++ b/crates/platform/src/reach.rs
@@ -25,6 +25,9 @@
 
 /// An idle line is closed by us before the invoker would close it: at this share of the stated time.
 const IDLE_SHARE: (Tenths, Tenths) = (3, 4);
+/// A line rests so long after an answer before it is used again, by looks of the machine: a second answer, or noise, may
+/// come some milliseconds late, and on a line in use it would be read as the answer to the next request.
+const RESTS: Tenths = 50 * MILLI;
 /// An order without an answer of its own, and a probe, are given up after this.
 const ASIDE_MOST: Duration = Duration::from_secs(2);
 const SMALL_ANSWER: usize = 4 << 10;
@@ -50,6 +53,8 @@
     life: Life,
     /// Rule 3: nothing begins to leave from then on.
     cutoff: Rc<Cell<Tenths>>,
+    /// Counts up when lines that stand lead to somebody else: those under way are not used again then.
+    epoch: u32,
     /// The freshest last, each with when it became idle.
     idle: Vec<(Tenths, Line)>,
     /// Requests under way.
@@ -189,8 +194,14 @@
         if new_work && now >= pool.cutoff.get() {
             return Err(Outcome::NotSent);
         }
-        let mut line = None;
-        while let Some((since, idle)) = pool.idle.pop() {
+        let front = self.front.upgrade().ok_or(Outcome::NotSent)?;
+        let (looked, mut line) = (front.turns.looked(), None);
+        for i in (0..pool.idle.len()).rev() {
+            let since = pool.idle[i].0;
+            if looked < since + RESTS {
+                continue;
+            }
+            let (_, idle) = pool.idle.remove(i);
             if now < since + most && idle.is_reusable() {
                 line = Some(idle);
                 break;
@@ -200,7 +211,6 @@
             debug!(invoker, "no descriptor is left for a connection");
             return Err(Outcome::NotSent);
         }
-        let front = self.front.upgrade().ok_or(Outcome::NotSent)?;
         let pool = self.pools.get_mut(&invoker).ok_or(Outcome::NoConnection)?;
         pool.under_way += 1;
         self.last += 1;
@@ -210,6 +220,7 @@
         let ask = Ask {
             front,
             invoker,
+            epoch: pool.epoch,
             job: self.last,
             address: Address::Tcp(pool.address.to_string()),
             within: self.connect_timeout,
@@ -250,8 +261,9 @@
         job.task.abort();
     }
 
-    fn put_back(&mut self, now: Tenths, invoker: InvokerId, line: Line) {
-        if let Some(pool) = self.pools.get_mut(&invoker).filter(|p| p.life != Life::Gone) {
+    fn put_back(&mut self, now: Tenths, invoker: InvokerId, epoch: u32, line: Line) {
+        if let Some(pool) = self.pools.get_mut(&invoker).filter(|p| p.epoch == epoch && p.life != Life::Gone)
+        {
             pool.idle.push((now, line));
         }
     }
@@ -330,6 +342,7 @@
 struct Ask {
     front: Rc<Front>,
     invoker: InvokerId,
+    epoch: u32,
     job: u64,
     address: Address,
     within: Duration,
@@ -392,7 +405,7 @@
 }
 
 async fn dispatch(ask: Ask, line: Option<Line>, inv: InvId, hop: u8) {
-    let (invoker, job) = (ask.invoker, ask.job);
+    let (invoker, epoch, job) = (ask.invoker, ask.epoch, ask.job);
     let mut told = Told::default();
     let (outcome, line) = match ask.go(line, frames::OUTPUT_MOST).await {
         End::Answered(whole, line) => {
@@ -416,14 +429,14 @@
             return;
         }
         if let Some(line) = line {
-            state.desk.reach.put_back(state.desk.now, invoker, line);
+            state.desk.reach.put_back(state.desk.now, invoker, epoch, line);
         }
         state.ended(inv, hop, outcome, &told);
     });
 }
 
 async fn order(ask: Ask, line: Option<Line>) {
-    let (invoker, job) = (ask.invoker, ask.job);
+    let (invoker, epoch, job) = (ask.invoker, ask.epoch, ask.job);
     let (outcome, standing, line) = match ask.go(line, SMALL_ANSWER).await {
         End::Answered(whole, line) => {
             let standing = http::notes(|name| whole.field(name)).standing;
@@ -439,7 +452,7 @@
             return;
         }
         if let Some(line) = line {
-            state.desk.reach.put_back(state.desk.now, invoker, line);
+            state.desk.reach.put_back(state.desk.now, invoker, epoch, line);
         }
         state.held(invoker, job, outcome, standing);
     });
@@ -447,12 +460,12 @@
 
 /// What no one waits for: to unload, and probes.
 async fn aside(ask: Ask, line: Option<Line>) {
-    let (invoker, job) = (ask.invoker, ask.job);
+    let (invoker, epoch, job) = (ask.invoker, ask.epoch, ask.job);
     let end = tokio::time::timeout(ASIDE_MOST, ask.go(line, SMALL_ANSWER)).await;
     ask.front.tell(|state| {
         let reach = &mut state.desk.reach;
         if let (true, Ok(End::Answered(_, line))) = (reach.finish(job), end) {
-            reach.put_back(state.desk.now, invoker, line);
+            reach.put_back(state.desk.now, invoker, epoch, line);
         }
     });
 }
@@ -471,6 +484,7 @@
         for (w, p) in &mut reach.pools {
             if p.life != Life::Gone && !lines.iter().any(|l| l.invoker == *w) {
                 p.life = Life::Gone;
+                p.epoch += 1;
                 p.idle.clear();
                 cut.push(*w);
             }
@@ -484,10 +498,12 @@
             address: l.address,
             life: l.life,
             cutoff: Rc::new(Cell::new(Tenths::MAX)),
+            epoch: 0,
             idle: Vec::new(),
             under_way: 0,
         });
         if pool.address != l.address || l.life == Life::Gone {
+            pool.epoch += 1;
             pool.idle.clear();
         }
         (pool.address, pool.life) = (l.address, l.life);
