--- a/crates/platform-wire/src/config.rs
+++ b/crates/platform-wire/src/config.rs
@@ -25,6 +25,8 @@
     pub known: (u64, Vec<(u64, Event)>),
     pub deployment: Deployment,
     pub trigger_names: Vec<String>,
+    /// As invocations name them, in the order of the deployment's tenants.
+    pub tenant_names: Vec<String>,
     pub connect_timeout: Tenths,
     pub conn_idle: Tenths,
     pub order_timeout: Tenths,
@@ -107,6 +109,10 @@
         .map(|i| pairs.text(&format!("classes.{i}.name")).map(ToOwned::to_owned))
         .collect::<Result<_, _>>()
         .map_err(of_settings)?;
+    let tenant_names = (0..deployment.tenants.len())
+        .map(|i| pairs.text(&format!("realms.{i}.name")).map(ToOwned::to_owned))
+        .collect::<Result<_, _>>()
+        .map_err(of_settings)?;
     let time = |path: &str| pairs.time(path).map_err(of_settings);
     Ok(Config {
         name: text(&v, "name")?.to_owned(),
@@ -123,6 +129,7 @@
         order_timeout: time("family_info.load_wait_ms")?,
         deployment,
         trigger_names,
+        tenant_names,
     })
 }
 
--- a/crates/platform-wire/src/frames.rs
+++ b/crates/platform-wire/src/frames.rs
@@ -73,6 +73,8 @@
 pub struct Request {
     pub trigger: String,
     pub txn: u64,
+    /// Whose invocation it is, by name; only where the deployment has tenants.
+    pub tenant: Option<String>,
     /// How long the client waits, from when it sent this.
     pub limit_ms: f64,
     /// By which a repeat is known.
@@ -165,6 +167,7 @@
     let mut request = Request {
         trigger: stated("verb")?.to_owned(),
         txn: hex16(stated("txn")?, "txn")?,
+        tenant: field("team").map(|value| text(value, "team")).transpose()?.map(ToOwned::to_owned),
         limit_ms: number(stated("limit")?, "limit", 0.001, LIMIT_MOST_MS)?,
         token,
         function: hex16(stated("item")?, "item")?,
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -100,6 +100,8 @@
     /// Told to end: no client is to bring anything new.
     ending: Cell<bool>,
     shut: Notify,
+    /// The door is shut, and whoever had come to it is in.
+    is_shut: Cell<bool>,
 }
 
 impl Clients {
@@ -126,6 +128,10 @@
         self.all.borrow().values().any(|c| c.outbox.waiting_bytes() > 0 || half(c))
     }
 
+    pub fn is_shut(&self) -> bool {
+        self.is_shut.get()
+    }
+
     pub fn frames(&self) -> u64 {
         self.frames.get()
     }
@@ -144,7 +150,7 @@
 
     /// Makes room for one more: who is going anyway goes at once; else, of those with nothing open, the one idle
     /// longest goes.
-    fn room(&self, most: usize) -> bool {
+    pub(crate) fn room(&self, most: usize) -> bool {
         let all = self.all.borrow();
         if all.len() < most {
             return true;
@@ -206,7 +212,7 @@
             // Who came before the door shuts is let in: the machine has accepted it already.
             biased;
             came = door.accept() => came,
-            () = front.seat.clients.shut.notified() => return,
+            () = front.seat.clients.shut.notified() => return front.seat.clients.is_shut.set(true),
         };
         match came {
             Ok(stream) => {
@@ -426,6 +432,15 @@
     let trigger = seat.trigger_names.iter().position(|n| *n == request.trigger);
     let trigger = trigger.ok_or_else(|| format!("verb '{}': not one of this deployment", request.trigger))?;
     let stated = &seat.deployment.trigger_types[trigger];
+    // Where there are no tenants the field says nothing; where there are, whose it is decides whose share it uses.
+    let tenant = match &request.tenant {
+        _ if seat.tenant_names.is_empty() => 0,
+        Some(name) => {
+            let tenant = seat.tenant_names.iter().position(|n| n == name);
+            tenant.ok_or_else(|| format!("team '{name}': not one of this deployment"))?
+        }
+        None => return Err("team: needed in this deployment".into()),
+    };
     let limit = (request.limit_ms * MILLI as f64) as Tenths;
     if limit > stated.client_timeout {
         return Err(format!("limit {}: more than the client timeout", request.limit_ms));
@@ -457,7 +472,7 @@
     let invocation = Invocation {
         id,
         trigger,
-        tenant: 0,
+        tenant,
         function: request.function,
         // Short waits keep their larger part for the work.
         expires: gone - ANSWER_MARGIN.min(limit / 4),
--- /dev/null
+++ b/crates/platform/src/crossings.rs
@@ -0,0 +1,685 @@
+//! What crosses at the wrong instant, over loopback sockets with the real reader and writer. Nobody sleeps until it
+//! happens: one side is held (a gate, a socket that nobody reads, the turn of the test itself, which comes before those of
+//! the controller's tasks) and let go when the other has been seen to act. `docs/crossings.md` lists them all.
+
+use crate::life::{leave, start};
+use crate::reach::Front;
+use crate::tests::{First, configuration_at};
+use saltdrum::port::*;
+use saltdrum_controller::Decides;
+use saltdrum_controller::desk::Told;
+use saltdrum_link::{Address, Clock, Listener, Network, Sockets, Stream};
+use saltdrum_platform_wire::config;
+use saltdrum_platform_wire::frames::{self, Code};
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Long past any wait of a sound run; only a broken one meets it.
+const LONG: Duration = Duration::from_secs(20);
+
+/// Sockets whose dials to invokers a test can hold.
+#[derive(Default)]
+struct Gated {
+    shut: Cell<bool>,
+    waiting: Cell<usize>,
+    opened: Notify,
+}
+
+type Dialled<'a, T> = Pin<Box<dyn Future<Output = std::io::Result<T>> + 'a>>;
+
+impl Network for Gated {
+    fn dial<'a>(&'a self, address: &'a Address) -> Dialled<'a, Stream> {
+        Box::pin(async move {
+            self.waiting.set(self.waiting.get() + 1);
+            while self.shut.get() {
+                self.opened.notified().await;
+            }
+            Sockets.dial(address).await
+        })
+    }
+
+    fn listen<'a>(&'a self, address: &'a Address) -> Dialled<'a, (Box<dyn Listener>, Address)> {
+        Box::pin(async move { Sockets.listen(address).await })
+    }
+}
+
+/// One end of a connection in the test's hands: nothing is read or written but when the test does it.
+struct Conn {
+    stream: TcpStream,
+    read: Vec<u8>,
+    ended: bool,
+}
+
+impl Conn {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_nonblocking(true).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self { stream, read: Vec::new(), ended: false }
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Reads what is there; whether anything was.
+    fn look(&mut self) -> usize {
+        let mut bytes = [0; 65_536];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => self.ended = true,
+                Ok(n) => {
+                    self.read.extend_from_slice(&bytes[..n]);
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => self.ended = true,
+            }
+            return self.read.len();
+        }
+    }
+
+    /// The next whole frame from the controller: type, stream, payload.
+    fn frame(&mut self) -> Option<(u8, u32, Vec<u8>)> {
+        self.look();
+        let length = u32::from_be_bytes(self.read.get(..4)?.try_into().ok()?) as usize;
+        if self.read.len() < 4 + length {
+            return None;
+        }
+        let frame: Vec<u8> = self.read.drain(..4 + length).collect();
+        Some((frame[4], u32::from_be_bytes(frame[5..9].try_into().unwrap()), frame[9..].to_vec()))
+    }
+
+    async fn hear(&mut self) -> (u8, u32, Vec<u8>) {
+        let mut heard = None;
+        until(|| {
+            heard = self.frame();
+            heard.is_some()
+        })
+        .await;
+        heard.unwrap()
+    }
+
+    /// The next request at an invoker, if it is there whole: its id.
+    fn request(&mut self) -> Option<String> {
+        self.look();
+        let text = String::from_utf8_lossy(&self.read).into_owned();
+        let end = text.find("\r\n\r\n")? + 4;
+        let field = |name: &str| {
+            let line = text[..end].lines().find(|l| l.to_ascii_lowercase().starts_with(name))?;
+            Some(line[name.len()..].trim().to_owned())
+        };
+        let length: usize = field("content-length:").map_or(0, |n| n.parse().unwrap());
+        if self.read.len() < end + length {
+            return None;
+        }
+        self.read.drain(..end + length);
+        Some(field("x-txn:").unwrap_or_default())
+    }
+
+    async fn asked(&mut self) -> String {
+        let mut asked = None;
+        until(|| {
+            asked = self.request();
+            asked.is_some()
+        })
+        .await;
+        asked.unwrap()
+    }
+}
+
+fn http(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nX-How: resident\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into()
+}
+
+fn door() -> (TcpListener, SocketAddrV4) {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    door.set_nonblocking(true).unwrap();
+    let at = door.local_addr().unwrap().to_string().parse().unwrap();
+    (door, at)
+}
+
+/// Lets the controller work until something is seen.
+async fn until(mut seen: impl FnMut() -> bool) {
+    let look = async {
+        while !seen() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(LONG, look).await.expect("what was waited for was never seen");
+}
+
+/// Acts after the machine has been asked what has come, and before any of the controller's tasks has had a turn since.
+async fn before_their_turn<T>(act: impl FnOnce() -> T) -> T {
+    let (mut asked, mut act) = (false, Some(act));
+    poll_fn(|cx| {
+        if !std::mem::replace(&mut asked, true) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready((act.take().unwrap())())
+    })
+    .await
+}
+
+/// A controller that sends all to invoker 1, which is the test.
+struct Stage {
+    network: Rc<Gated>,
+    front: Rc<Front>,
+    at: SocketAddrV4,
+    invoker: TcpListener,
+    _feed: TcpListener,
+    next: Cell<u64>,
+}
+
+impl Stage {
+    async fn new() -> Self {
+        Self::of(|_, _, _, _| Box::new(First), &[]).await
+    }
+
+    async fn of(make: saltdrum_controller::Make, tenants: &[&str]) -> Self {
+        let network = Rc::new(Gated::default());
+        let ((invoker, invoker_at), (_feed, feed_at)) = (door(), door());
+        let at = door().1;
+        let text = configuration_at(at, feed_at, &[(1, invoker_at)], 256);
+        let mut text: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let realm = |name: &&str| serde_json::json!({"name": name, "quota_rps": 10.0, "share": 0.5});
+        text["settings"]["realms"] = tenants.iter().map(realm).collect();
+        let config = config::read(&text.to_string()).unwrap();
+        let front = start(config, 1_800_000_000_000, network.clone(), Clock::start(), make).await.unwrap();
+        Self { network, front, at, invoker, _feed, next: Cell::new(0) }
+    }
+
+    fn client(&self) -> Conn {
+        Conn::new(TcpStream::connect(self.at).unwrap())
+    }
+
+    /// A client of which the controller has heard something whole.
+    async fn known(&self) -> Conn {
+        let mut client = self.client();
+        client.write(&frames::bare(32, 1));
+        client.hear().await;
+        client
+    }
+
+    /// The frame of a new invocation, and its id.
+    fn call(&self, stream: u32) -> (Vec<u8>, String) {
+        self.next.set(self.next.get() + 1);
+        let txn = format!("{:016x}", self.next.get());
+        let fields = [("verb", "book"), ("txn", &txn), ("limit", "2500"), ("item", "00000000000000f1")];
+        (frames::invoke(stream, &fields, &[]).to_vec(), txn)
+    }
+
+    /// The next connection that the controller makes to the invoker.
+    async fn line(&self) -> Conn {
+        let mut line = None;
+        until(|| {
+            line = self.invoker.accept().ok();
+            line.is_some()
+        })
+        .await;
+        Conn::new(line.unwrap().0)
+    }
+
+    fn clients(&self) -> usize {
+        self.front.seat.clients.sizes().0
+    }
+
+    fn in_flight(&self) -> usize {
+        self.front.see(|s| s.desk.in_flight())
+    }
+
+    /// Nothing came to the invoker that was not taken out yet.
+    fn nothing_came(&self) -> bool {
+        match self.invoker.accept() {
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+            Ok((stream, _)) => Conn::new(stream).look() == 0,
+        }
+    }
+}
+
+fn staged<F: Future<Output = ()>>(play: impl FnOnce() -> F) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, play());
+}
+
+/// A reset that the writer meets before the reader has heard of it. The writer, which had ended, was asked again for its
+/// last words: its task died of it, the client stayed in the tables and what it had open was never given up.
+#[test]
+fn a_reset_that_an_answer_meets_is_a_client_that_left() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.client();
+        let (one, _) = stage.call(2);
+        let (two, _) = stage.call(3);
+        // The answer to the first frame is never read: so the close is a reset.
+        client.write(&[frames::bare(32, 1).to_vec(), one, two].concat());
+        until(|| stage.in_flight() == 2).await;
+        let mut lines = [stage.line().await, stage.line().await];
+        for line in &mut lines {
+            line.asked().await;
+        }
+        until(|| client.stream.peek(&mut [0]).is_ok()).await;
+        drop(client);
+        stage.front.tell(|s| s.ended(1, 0, Outcome::Errored, &Told::default()));
+        until(|| stage.in_flight() == 0).await;
+        until(|| stage.clients() == 0).await;
+        until(|| {
+            lines.iter_mut().all(|l| {
+                l.look();
+                l.ended
+            })
+        })
+        .await;
+    });
+}
+
+/// `left` was told after the last words, which a client that does not read takes 300 ms of: all of the term in which
+/// nothing may be sent on.
+#[test]
+fn who_has_left_is_told_of_before_its_last_words() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.client();
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 32_768).unwrap();
+        let (mut line, mut stream) = (None::<Conn>, 1);
+        // Answers that nobody reads, until one waits.
+        while !stage.front.seat.clients.are_under_way() {
+            let (call, _) = stage.call(stream);
+            stream += 1;
+            client.write(&call);
+            let mut new = stage.line().await;
+            new.asked().await;
+            new.write(&http(&"x".repeat(150_000)));
+            until(|| stage.in_flight() == 0).await;
+            line = Some(new);
+        }
+        drop(line);
+        let (call, _) = stage.call(stream);
+        client.write(&call);
+        let mut last = stage.line().await;
+        last.asked().await;
+        client.stream.shutdown(Shutdown::Write).unwrap();
+        until(|| stage.in_flight() == 0).await;
+        assert_eq!(stage.clients(), 1, "its last words are still on their way");
+        until(|| {
+            last.look();
+            last.ended
+        })
+        .await;
+        drop(client);
+        until(|| stage.clients() == 0).await;
+    });
+}
+
+/// The reader went first: it took and dispatched what it found, and in the same turn the connection was closed. Its client
+/// brings it again on a new connection, and a non-idempotent one had left.
+#[test]
+fn nothing_is_taken_on_a_connection_that_is_to_be_closed() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        let (call, txn) = stage.call(2);
+        client.write(&call);
+        before_their_turn(|| assert!(stage.front.seat.clients.room(1))).await;
+        until(|| {
+            client.look();
+            client.ended
+        })
+        .await;
+        assert!(client.read.is_empty(), "no answer is owed");
+        assert_eq!(stage.front.see(|s| s.desk.counts.taken), 0);
+        drop(client);
+        until(|| stage.clients() == 0).await;
+        assert!(stage.nothing_came());
+        // It comes again, and is served.
+        let mut again = stage.client();
+        again.write(&call);
+        let mut line = stage.line().await;
+        assert_eq!(line.asked().await, txn);
+        line.write(&http("done"));
+        assert_eq!(again.hear().await, (17, 2, [&[79, 0][..], b"done"].concat()));
+    });
+}
+
+/// A close with bytes unread is a reset, and a reset throws away what the machine had not sent yet.
+#[test]
+fn an_answer_that_is_on_its_way_survives_the_close_of_its_connection() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.client();
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 32_768).unwrap();
+        let (call, _) = stage.call(1);
+        client.write(&call);
+        let mut line = stage.line().await;
+        line.asked().await;
+        let body = "y".repeat(200_000);
+        line.write(&http(&body));
+        until(|| stage.in_flight() == 0).await;
+        // What nobody may send, and more behind it than is read at once.
+        client.write(&[&[0, 0, 0, 9, 77][..], &[0; 60_000]].concat());
+        let mut heard = Vec::new();
+        until(|| {
+            heard.extend(client.frame());
+            client.ended
+        })
+        .await;
+        assert_eq!(heard[0], (17, 1, [&[79, 0][..], body.as_bytes()].concat()));
+        assert_eq!((heard[1].0, heard[1].1, heard[1].2[0]), (17, 0, Code::Errored as u8));
+        assert_eq!(heard.len(), 2);
+    });
+}
+
+/// The end was reached in the turn in which nothing was owed: what lay in the machine then was cut off with the process.
+#[test]
+fn what_lies_in_the_machine_at_the_end_is_still_taken() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        let front = stage.front.clone();
+        let ending = spawn_local(async move { leave(&front).await });
+        assert_eq!(client.hear().await.0, 48);
+        // The controller is behind: its wait ends late, and the request comes after it last asked the machine.
+        tokio::time::sleep(Duration::from_millis(780)).await;
+        std::thread::sleep(Duration::from_millis(40));
+        let (call, _) = stage.call(2);
+        before_their_turn(|| client.write(&call)).await;
+        let mut line = stage.line().await;
+        line.asked().await;
+        assert!(!ending.is_finished());
+        line.write(&http("last"));
+        ending.await.unwrap();
+        assert_eq!(client.frame(), Some((17, 2, [&[79, 0][..], b"last"].concat())));
+    });
+}
+
+/// Connections that the machine has accepted and the controller has not, with a request in each, when its wait ends.
+#[test]
+fn who_waits_at_the_door_at_the_end_is_let_in() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut known = stage.known().await;
+        let front = stage.front.clone();
+        let ending = spawn_local(async move { leave(&front).await });
+        assert_eq!(known.hear().await.0, 48);
+        tokio::time::sleep(Duration::from_millis(780)).await;
+        std::thread::sleep(Duration::from_millis(40));
+        let mut clients: Vec<Conn> = (0..5).map(|_| stage.client()).collect();
+        for client in &mut clients {
+            let (call, _) = stage.call(1);
+            client.write(&call);
+        }
+        for n in 0..5 {
+            let mut line = stage.line().await;
+            line.asked().await;
+            line.write(&http(&n.to_string()));
+        }
+        ending.await.unwrap();
+        for client in &mut clients {
+            let heard = [client.frame().unwrap(), client.frame().unwrap()];
+            assert_eq!(heard[0].0, 48, "it hears to bring nothing more, once what it came for is taken");
+            assert_eq!((heard[1].0, heard[1].1, heard[1].2[0]), (17, 1, Code::Succeeded as u8));
+        }
+        assert!(TcpStream::connect(stage.at).is_err(), "the door is shut");
+    });
+}
+
+/// An answer out of the outbox is not with its client yet: the end waits until it has been read, or a moment.
+#[test]
+fn the_end_waits_for_answers_to_arrive_and_not_for_who_never_reads() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let (mut reads, mut never) = (stage.known().await, stage.known().await);
+        for (client, size) in [(&mut reads, 32_768), (&mut never, 32_768)] {
+            rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, size).unwrap();
+            let (call, _) = stage.call(2);
+            client.write(&call);
+            let mut line = stage.line().await;
+            line.asked().await;
+            line.write(&http(&"z".repeat(120_000)));
+            until(|| stage.in_flight() == 0).await;
+        }
+        let front = stage.front.clone();
+        let ending = spawn_local(async move { leave(&front).await });
+        // Nobody reads until nothing is owed any more and connections are being closed.
+        until(|| stage.front.seat.clients.is_shut() || ending.is_finished()).await;
+        assert!(!ending.is_finished());
+        until(|| {
+            reads.look();
+            reads.ended
+        })
+        .await;
+        let heard = reads.frame().unwrap();
+        assert_eq!((heard.0, heard.1, heard.2.len()), (17, 2, 120_002));
+        ending.await.unwrap();
+        assert!(never.frame().is_some(), "what had arrived is there");
+    });
+}
+
+/// A second answer that comes while the next request is already there would be read as that one's.
+#[test]
+fn a_second_answer_is_never_taken_for_the_next_requests() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        for round in 0..5u32 {
+            let (call, txn) = stage.call(2 + 2 * round);
+            client.write(&call);
+            let mut first = stage.line().await;
+            assert_eq!(first.asked().await, txn);
+            let answer = http(&txn);
+            first.write(&answer);
+            assert_eq!(client.hear().await.2[2..], *txn.as_bytes());
+            let (call, txn) = stage.call(3 + 2 * round);
+            client.write(&call);
+            // On the line of the first, or on one of its own: the second answer comes now, before the true one.
+            let mut second = None;
+            until(|| {
+                let Ok((stream, _)) = stage.invoker.accept() else { return first.request().is_some() };
+                second = Some(Conn::new(stream));
+                true
+            })
+            .await;
+            let _ = first.stream.write_all(&answer);
+            match second {
+                Some(mut second) => {
+                    assert_eq!(second.asked().await, txn);
+                    second.write(&http(&txn));
+                }
+                None => first.write(&http(&txn)),
+            }
+            assert_eq!(client.hear().await.2[2..], *txn.as_bytes(), "the answer that was made for it");
+            until(|| {
+                first.look();
+                first.ended || round > 3
+            })
+            .await;
+        }
+    });
+}
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Says,
+    Closes,
+    Resets,
+}
+
+/// Sound, by test: a dial that comes up late brings nothing of a client that has left meanwhile.
+#[test]
+fn a_dial_that_comes_up_late_sends_nothing_of_who_has_left() {
+    for leaves in [Leaves::Says, Leaves::Closes, Leaves::Resets] {
+        staged(|| async move {
+            let stage = Stage::new().await;
+            let mut client = stage.client();
+            client.write(&frames::bare(32, 1));
+            until(|| client.stream.peek(&mut [0]).is_ok()).await;
+            if !matches!(leaves, Leaves::Resets) {
+                client.hear().await;
+            }
+            let dials = stage.network.waiting.get();
+            stage.network.shut.set(true);
+            client.write(&stage.call(2).0);
+            until(|| stage.network.waiting.get() > dials).await;
+            match leaves {
+                Leaves::Says => client.write(&frames::bare(18, 2)),
+                Leaves::Closes | Leaves::Resets => drop(client),
+            }
+            until(|| stage.in_flight() == 0).await;
+            stage.network.shut.set(false);
+            stage.network.opened.notify_waiters();
+            assert_eq!(stage.front.see(|s| s.desk.reach.sizes().jobs), 0, "{leaves:?}");
+            // Another's request goes through the same gate, and is all that comes.
+            let mut other = stage.client();
+            let (call, txn) = stage.call(1);
+            other.write(&call);
+            let mut line = stage.line().await;
+            assert_eq!(line.asked().await, txn, "{leaves:?}");
+            assert!(stage.nothing_came(), "{leaves:?}");
+        });
+    }
+}
+
+/// Sound, by test: type 18 in the same read as its request, before it, twice, and for a stream that was answered.
+#[test]
+fn leaving_in_the_same_breath_as_asking_sends_nothing() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        let left = |stream| frames::bare(18, stream).to_vec();
+        client.write(
+            &[left(2), stage.call(2).0, left(2), left(2), left(9), frames::bare(32, 3).to_vec()].concat(),
+        );
+        assert_eq!(client.hear().await.0, 33, "all before it was read");
+        assert_eq!(stage.front.see(|s| (s.desk.counts.taken, s.desk.counts.left)), (1, 1));
+        until(|| stage.in_flight() == 0).await;
+        let (call, txn) = stage.call(4);
+        client.write(&call);
+        let mut line = stage.line().await;
+        assert_eq!(line.asked().await, txn);
+        line.write(&http("done"));
+        client.hear().await;
+        client.write(&[left(4), frames::bare(32, 5).to_vec()].concat());
+        assert_eq!(client.hear().await.0, 33);
+        assert_eq!(stage.front.see(|s| s.desk.counts.left), 1);
+        assert!(stage.nothing_came());
+    });
+}
+
+/// Sound, by test: an idle line that breaks before, in or after the write. Dialled again only where nothing can have run.
+#[test]
+fn a_line_that_breaks_under_a_request_is_replaced_only_if_nothing_left_whole() {
+    for after in [false, true] {
+        staged(|| async move {
+            let stage = Stage::new().await;
+            let mut client = stage.known().await;
+            client.write(&stage.call(2).0);
+            let mut line = stage.line().await;
+            line.asked().await;
+            line.write(&http("one"));
+            client.hear().await;
+            // It rests, and is used again.
+            let rested = stage.front.clock.now() + 60 * MILLI;
+            until(|| stage.front.turns.looked() > rested).await;
+            let (call, txn) = stage.call(4);
+            if after {
+                client.write(&call);
+                assert_eq!(line.asked().await, txn, "on the same line");
+                drop(line);
+                assert_eq!(client.hear().await.2[0], Code::Errored as u8, "it may have run");
+                assert!(stage.nothing_came());
+            } else {
+                // The close arrives after the machine was last asked: the write meets it.
+                client.write(&call);
+                before_their_turn(|| drop(line)).await;
+                let mut heard = None;
+                let mut new = None;
+                until(|| {
+                    new = stage.invoker.accept().ok().or(new.take());
+                    heard = client.frame();
+                    heard.is_some() || new.is_some()
+                })
+                .await;
+                match new {
+                    Some((stream, _)) => {
+                        let mut new = Conn::new(stream);
+                        assert_eq!(new.asked().await, txn);
+                        new.write(&http("two"));
+                        assert_eq!(client.hear().await.2[0], Code::Succeeded as u8);
+                    }
+                    // It left whole towards a peer that was gone: not known, so never sent again.
+                    None => assert_eq!(heard.unwrap().2[0], Code::Errored as u8),
+                }
+            }
+        });
+    }
+}
+
+/// Sound, by test: what has something open is never chosen to make room.
+#[test]
+fn nobody_with_an_open_invocation_makes_room() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut busy = stage.known().await;
+        busy.write(&stage.call(2).0);
+        let mut line = stage.line().await;
+        line.asked().await;
+        assert!(!stage.front.seat.clients.room(1), "nobody is idle");
+        line.write(&http("done"));
+        assert_eq!(busy.hear().await.2[0], Code::Succeeded as u8);
+    });
+}
+
+thread_local! {
+    static WHOSE: RefCell<Vec<usize>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Throttles all, and keeps whose it was.
+struct Whose;
+
+impl Decides for Whose {
+    fn listed(&mut self, _: Tenths, _: bool, _: &[Listed]) {}
+    fn invoked(&mut self, _: Tenths, call: Invocation, acts: &mut dyn Acts) {
+        WHOSE.with_borrow_mut(|whose| whose.push(call.tenant));
+        acts.throttle(call.id, 0);
+    }
+    fn left(&mut self, _: Tenths, _: InvId) {}
+    fn answered(&mut self, _: Tenths, _: Answer, _: &mut dyn Acts) {}
+    fn held(&mut self, _: Tenths, _: HoldAnswer, _: &mut dyn Acts) {}
+    fn woken(&mut self, _: Tenths, _: u64, _: &mut dyn Acts) {}
+}
+
+/// Every invocation was the first tenant's, whoever's it was.
+#[test]
+fn an_invocation_is_its_tenants_where_there_are_tenants() {
+    for tenants in [&["a hall", "b.2"][..], &[]] {
+        staged(|| async move {
+            let stage = Stage::of(|_, _, _, _| Box::new(Whose), tenants).await;
+            let mut client = stage.known().await;
+            let mut codes = Vec::new();
+            for (n, team) in [Some("b.2"), Some("a hall"), Some("nobody's"), None].into_iter().enumerate() {
+                let (n, txn) = (n as u32 + 2, format!("{n:016x}"));
+                let mut fields =
+                    vec![("verb", "book"), ("txn", &txn), ("limit", "900"), ("item", "00000000000000f1")];
+                fields.extend(team.map(|team| ("team", team)));
+                client.write(&frames::invoke(n, &fields, &[]));
+                codes.push(client.hear().await.2[0]);
+            }
+            let (full, ill) = (Code::Throttled as u8, Code::Errored as u8);
+            if tenants.is_empty() {
+                assert_eq!((codes, WHOSE.take()), (vec![full; 4], vec![0; 4]), "the field says nothing");
+            } else {
+                assert_eq!((codes, WHOSE.take()), (vec![full, full, ill, ill], vec![1, 0]));
+            }
+        });
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,5 +16,7 @@
 pub use budget::Budget;
 pub use life::{Failure, Life, Seat, serve};
 
+#[cfg(test)]
+mod crossings;
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -50,6 +50,7 @@
     pub(crate) seed: u64,
     pub(crate) deployment: Deployment,
     pub(crate) trigger_names: Rc<[String]>,
+    pub(crate) tenant_names: Vec<String>,
     pub(crate) budget: Budget,
     pub(crate) clients: Clients,
     pub(crate) feed: Feed,
@@ -129,6 +130,7 @@
         seed: config.seed,
         deployment: d,
         trigger_names,
+        tenant_names: config.tenant_names,
         budget,
         clients: Clients::default(),
         feed: Feed::new(config.feed, config.known.0),
@@ -211,12 +213,12 @@
 /// whoever has something to read, before it says so.
 async fn is_quiet(front: &Rc<Front>) -> bool {
     let clients = &front.seat.clients;
-    let before = clients.frames();
+    let (was_shut, before) = (clients.is_shut(), clients.frames());
     // The machine is asked before a sleep ends, and whoever it wakes is queued before the task that follows.
     tokio::time::sleep(LOOK).await;
     for _ in 0..2 {
         let _ = spawn_local(async {}).await;
     }
     let owed = front.see(|state| state.desk.owing()) > 0;
-    !owed && !clients.are_under_way() && clients.frames() == before
+    was_shut && !owed && !clients.are_under_way() && clients.frames() == before
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -46,22 +46,32 @@
     address(&format!("10.2.0.{n}:8500"))
 }
 
-/// The settings as the platform states them, with the three kinds of effect.
 fn configuration(invokers: &[u32], sockets: usize) -> String {
+    let invokers: Vec<_> = invokers.iter().map(|w| (*w, invoker_at(*w))).collect();
+    configuration_at(here(), feed_at(1), &invokers, sockets)
+}
+
+/// The settings as the platform states them, with the three kinds of effect.
+pub(crate) fn configuration_at(
+    here: SocketAddrV4,
+    feed: SocketAddrV4,
+    invokers: &[(u32, SocketAddrV4)],
+    sockets: usize,
+) -> String {
     let class = |name: &str, effect: &str| {
         serde_json::json!({"name": name, "aim_ms": 1000.0, "give_up_ms": 3000.0, "effect": effect, "key_scope": "all",
             "repeat_window_ms": 2000.0, "worth": 1.0, "late_share": 0.2, "stream": false})
     };
     let members: Vec<_> = invokers
         .iter()
-        .map(|w| {
-            serde_json::json!({"id": format!("s-{w:08x}"), "host_port": invoker_at(*w).to_string(), "locality": "a",
+        .map(|(w, at)| {
+            serde_json::json!({"id": format!("s-{w:08x}"), "host_port": at.to_string(), "locality": "a",
                 "flavor": "std", "cell": 0, "phase": "up", "size": 4.0, "up_since_ms": 0})
         })
         .collect();
     serde_json::json!({
-        "name": "n1", "listen": here().to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets}, "feed": feed_at(1).to_string(),
+        "name": "n1", "listen": here.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets}, "feed": feed.to_string(),
         "known": {"n": 1, "events": [{"n": 1, "members": {"revision": 1, "complete": true, "members": members}}]},
         "settings": {
             "balancers": 1, "zone": 0, "zones": ["a"], "kinds": ["std"], "over_share_worth": 0.1, "tick_ms": 2.0,
@@ -187,7 +197,7 @@
 const TAKEN_BACK: FnId = 0xbac;
 
 /// Sends everything to invoker 1 and answers by what came of it; keeps what it was told.
-struct First;
+pub(crate) struct First;
 
 fn first(_: Tenths, _: Deployment, _: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
     TOLD.take();
