--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -210,6 +210,76 @@
     let mut heard = [hear(&mut client), hear(&mut client)];
     heard.sort();
     assert_eq!(heard, [(17, 12, [&[79, 0][..], b"done"].concat()), (48, 0, vec![])]);
+    assert_eq!(hear(&mut late), (48, 0, vec![]), "who came later hears it too");
     assert_eq!(hear(&mut late), (17, 1, [&[79, 0][..], b"done"].concat()));
     assert_eq!(running.0.wait().unwrap().code(), Some(0));
 }
+
+/// A reader that stands by: what it holds back is read when the test says so, never before.
+fn asked_and_never_read(listen: &str) -> TcpStream {
+    let mut never = dial(listen);
+    never.write_all(&[0, 0, 0, 5, 32, 0, 0, 0, 9]).unwrap();
+    never.write_all(&ask(10, 900)).unwrap();
+    never
+}
+
+#[test]
+fn it_ends_with_a_client_that_never_reads_and_signals_of_all_kinds_meanwhile() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, invoker, (feed, _asked)) = (free_address(), invoker(Duration::from_millis(300)), feed());
+    let config = write(folder.path(), &configuration(&listen, &feed, &invoker).to_string());
+    let mut running = Running(saltdrum(&config).stdout(Stdio::null()).spawn().unwrap());
+    let never = asked_and_never_read(&listen);
+    let mut client = dial(&listen);
+    client.write_all(&ask(10, 1)).unwrap();
+    assert_eq!(hear(&mut client).0, 17);
+    // A file that is replaced and asked for again and again, with the order to end among it.
+    for round in 0..20 {
+        let text =
+            if round % 2 == 0 { "{".to_owned() } else { configuration(&listen, &feed, &invoker).to_string() };
+        write(folder.path(), &text);
+        running.signal(Signal::HUP);
+        if round == 10 {
+            running.signal(Signal::TERM);
+        }
+    }
+    running.signal(Signal::TERM);
+    assert_eq!(hear(&mut client).0, 48);
+    // Readiness asked while ending is answered no; what comes is still served.
+    client.write_all(&[0, 0, 0, 5, 32, 0, 0, 0, 77]).unwrap();
+    assert_eq!(hear(&mut client), (33, 77, vec![66, 0]));
+    client.write_all(&ask(11, 2)).unwrap();
+    assert_eq!(hear(&mut client), (17, 11, [&[79, 0][..], b"done"].concat()));
+    running.signal(Signal::HUP);
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "the connection ends before the process does");
+    assert_eq!(running.0.wait().unwrap().code(), Some(0));
+    drop(never);
+}
+
+#[test]
+fn a_killed_one_starts_again_at_once_at_its_address_and_knows_nothing_of_before() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, invoker, (feed, asked)) = (free_address(), invoker(Duration::from_millis(400)), feed());
+    let config = write(folder.path(), &configuration(&listen, &feed, &invoker).to_string());
+    let mut killed = Running(saltdrum(&config).stdout(Stdio::null()).spawn().unwrap());
+    let mut client = dial(&listen);
+    assert_eq!(asked.recv_timeout(LONG).unwrap(), 1);
+    for n in 1..=5 {
+        client.write_all(&ask(n, u64::from(n))).unwrap();
+    }
+    client.write_all(&[0, 0, 0, 5, 32, 0, 0, 0, 99]).unwrap();
+    assert_eq!(hear(&mut client).0, 33, "all are taken");
+    killed.signal(Signal::KILL);
+    killed.0.wait().unwrap();
+    let _again = Running(saltdrum(&config).stdout(Stdio::null()).spawn().unwrap());
+    let mut client = dial(&listen);
+    assert_eq!(asked.recv_timeout(LONG).unwrap(), 1, "numbers of the feed go on from its file");
+    // The same ids again, while the invokers still answer those of the life before.
+    for n in 1..=5 {
+        client.write_all(&ask(n, u64::from(n))).unwrap();
+    }
+    let mut heard: Vec<_> = (0..5).map(|_| hear(&mut client)).collect();
+    heard.sort();
+    let expected: Vec<_> = (1..=5).map(|n| (17, n, [&[79, 0][..], b"done"].concat())).collect();
+    assert_eq!(heard, expected);
+}
--- a/crates/day/src/check.rs
+++ b/crates/day/src/check.rs
@@ -211,6 +211,31 @@
     Ok(rules.iter().enumerate().map(judge).collect())
 }
 
+/// So long after its client has left nothing of an invocation is sent on any more, by the operators' terms.
+pub const LEFT_TERM: Tenths = 300 * MILLI;
+
+/// What was sent on later than that, by the earliest time at which it can have come. A term of the platform's days, beside
+/// the five rules.
+pub fn sent_on_after_leaving(lines: &[Line]) -> Vec<Finding> {
+    let seen = Seen::of(lines);
+    let mut found = Vec::new();
+    for line in lines {
+        let Line::HungUp { at: left, of } = line else { continue };
+        let sent_on = seen.dispatches.values().flatten().filter(|d| d.of == *of);
+        found.extend(sent_on.filter(|d| d.earliest > left + LEFT_TERM).map(|d| Finding {
+            at: d.at,
+            text: format!(
+                "invocation {}.{} was sent on to {} {} ms after its client had left",
+                of.n,
+                of.attempt,
+                d.invoker,
+                ms(d.earliest - left)
+            ),
+        }));
+    }
+    found
+}
+
 fn ms(t: Tenths) -> f64 {
     t as f64 / MILLI as f64
 }
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -35,6 +35,11 @@
         Self { address: RefCell::new(address), moved: Notify::new(), last: Cell::new(last) }
     }
 
+    #[cfg(test)]
+    pub fn last(&self) -> u64 {
+        self.last.get()
+    }
+
     /// It is elsewhere from now on; its numbers go on.
     pub fn moves(&self, to: std::net::SocketAddrV4) {
         if self.address.replace(to) != to {
--- /dev/null
+++ b/crates/platform/src/in_time.rs
@@ -0,0 +1,382 @@
+//! Crossings that are made of time, in virtual time: silences of the feed, drains within a grace, the end before a kill,
+//! and settings at their edges. Those of single turns are in `crossings`.
+
+use crate::life::leave;
+use crate::tests::{RESTED, Stage, TOLD, answer, configuration, feed_at, first, invoker_at, pass, staged};
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use saltdrum::port::*;
+use saltdrum_controller::by_design;
+use saltdrum_link::{Address, Stream};
+use saltdrum_platform_wire::config;
+use saltdrum_platform_wire::feed::{Event, encode};
+use saltdrum_platform_wire::frames::{self, Code};
+use saltdrum_standin::platform::{Call, Heard, Spoilt, listing};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::spawn_local;
+
+/// What the feed does on one of its connections, in their order.
+#[derive(Clone, Copy, Debug)]
+enum Does {
+    /// So many empty frames, a second apart, then nothing more.
+    FallsSilent(u64),
+    /// Takes the connection, and is silent from the first.
+    SaysNothing,
+    /// An event, a byte every 300 ms.
+    Drips,
+    /// Only empty frames, with the number of an event that was never told.
+    TellsNoEvents,
+    /// The event, then empty frames.
+    Tells,
+}
+
+fn event() -> (u64, Event) {
+    (2, Event::Changes(vec![listing(1, invoker_at(1), Life::Draining, None)]))
+}
+
+async fn plays(mut stream: Stream, does: Does) {
+    let Ok(last) = stream.read_u64().await else { return };
+    let empty = |number| encode(number, &Event::Nothing);
+    let (number, event) = event();
+    let beats = |n: u64| match does {
+        Does::FallsSilent(beats) => (n < beats).then(|| empty(last)),
+        Does::SaysNothing | Does::Drips => None,
+        Does::TellsNoEvents => Some(empty(number)),
+        Does::Tells => Some(if n == 0 { encode(number, &event) } else { empty(number) }),
+    };
+    if matches!(does, Does::Drips) {
+        for byte in encode(number, &event) {
+            if stream.write_all(&[byte]).await.is_err() {
+                return;
+            }
+            pass(300).await;
+        }
+    }
+    for n in 0.. {
+        let Some(bytes) = beats(n) else { return std::future::pending().await };
+        if stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+        pass(1_000).await;
+    }
+}
+
+/// How many ms after the feed fell silent an event was known that it has told nobody since.
+async fn known_after(stage: &Stage, does: &'static [Does], silent_after: u64) -> u64 {
+    let (network, at) = (stage.network.clone(), feed_at(2));
+    let connections = Rc::new(Cell::new(0));
+    let counted = connections.clone();
+    spawn_local(async move {
+        let (mut door, _) = network.listen(&Address::Tcp(at.to_string())).await.unwrap();
+        while let Ok(stream) = door.accept().await {
+            let n = counted.replace(counted.get() + 1);
+            spawn_local(plays(stream, does[n.min(does.len() - 1)]));
+        }
+    });
+    stage.front.seat.feed.moves(at);
+    pass(silent_after).await;
+    let since = stage.clock.now();
+    while stage.front.seat.feed.last() < 2 {
+        assert!(stage.clock.now() < since + 30 * SECOND, "never, over {} connections", connections.get());
+        pass(1).await;
+    }
+    assert_eq!(connections.get(), does.len(), "{does:?}");
+    (stage.clock.now() - since) / MILLI
+}
+
+/// What a silent feed would have told counts as told 4 s after it fell silent, whatever it does when it is asked again:
+/// the waits of two silences were 4.5 s. A byte now and then, or empty frames, kept a feed from ever being asked.
+#[test]
+fn what_a_silent_feed_would_have_told_is_known_before_it_counts_as_told() {
+    const CASES: [(&[Does], u64); 5] = [
+        (&[Does::FallsSilent(3), Does::Tells], 2_010),
+        (&[Does::FallsSilent(3), Does::SaysNothing, Does::Tells], 2_010),
+        (&[Does::SaysNothing, Does::FallsSilent(1), Does::Tells], 10),
+        (&[Does::Drips, Does::Tells], 10),
+        (&[Does::TellsNoEvents, Does::Tells], 10),
+    ];
+    for (does, silent_after) in CASES {
+        staged(|| async move {
+            let stage = Stage::new(by_design, &[1], 256).await;
+            let ms = known_after(&stage, does, silent_after).await;
+            assert!(ms < 3_700, "{does:?}: {ms} ms");
+        });
+    }
+}
+
+/// Sound, by test: the timers of a drain that was taken back do not act on the next one.
+#[test]
+fn drain_ready_drain_within_a_grace_goes_by_the_last() {
+    staged(|| async {
+        // The module takes no notice of the list: what is sent, and what is not, is the pool's doing alone.
+        let stage = Stage::new(first, &[1], 256).await;
+        let mut client = stage.client().await;
+        let lives = [Life::Draining, Life::Ready, Life::Draining];
+        for (n, life) in lives.into_iter().enumerate() {
+            stage.feed.say(2 + n as u64, Event::Changes(vec![listing(1, invoker_at(1), life, None)]));
+            pass(50).await;
+        }
+        // 150 ms after the first, 50 ms after the last; half the grace is 125 ms.
+        client.ask(&stage.call("book")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        pass(60).await;
+        client.ask(&stage.call("book")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Throttled as u8);
+        assert_eq!(TOLD.take(), [(Outcome::Succeeded, true), (Outcome::NotSent, false)]);
+        assert_eq!(stage.invokers[&1].arrived.borrow().len(), 1);
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+/// An answer came after its invoker had gone and come again under the same id elsewhere: its line went into the new pool,
+/// and the next request to the old place.
+#[test]
+fn a_line_from_before_is_not_used_for_who_came_after() {
+    staged(|| async {
+        let mut stage = Stage::new(first, &[1], 256).await;
+        let old = stage.invokers[&1].clone();
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        pass(10).await;
+        assert_eq!(old.arrived.borrow().len(), 1, "under way");
+        stage.feed.say(2, Event::Changes(vec![listing(1, invoker_at(1), Life::Gone, None)]));
+        stage.feed.say(3, Event::Changes(vec![listing(1, invoker_at(8), Life::Ready, None)]));
+        stage.invoker(1, invoker_at(8));
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        pass(RESTED).await;
+        client.ask(&stage.call("look")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        assert_eq!((old.arrived.borrow().len(), stage.invokers[&1].arrived.borrow().len()), (1, 1));
+    });
+}
+
+fn changed(change: impl FnOnce(&mut Value)) -> String {
+    let mut text: Value = serde_json::from_str(&configuration(&[1, 2], 256)).unwrap();
+    change(&mut text);
+    text.to_string()
+}
+
+/// With client timeouts beyond what a restart waits for, what an invoker never answered was still owed when the process was
+/// killed, 3.7 s after it was told to end. Readiness asked while ending is answered no.
+#[test]
+fn what_can_not_be_settled_before_the_kill_is_answered_before_it() {
+    staged(|| async {
+        let text = changed(|c| {
+            c["settings"]["classes"]
+                .as_array_mut()
+                .unwrap()
+                .iter_mut()
+                .for_each(|t| t["give_up_ms"] = json!(12_000.0));
+        });
+        let stage = Stage::with(first, &[1, 2], &text).await;
+        stage.invokers[&1].spoilt.set(Spoilt::Silent);
+        let mut client = stage.client().await;
+        client.ask(&Call { limit_ms: 12_000, ..stage.call("book") }).await;
+        pass(20).await;
+        let (front, told) = (stage.front.clone(), stage.clock.now());
+        let ending = spawn_local(async move { leave(&front).await });
+        pass(500).await;
+        client.ask(&Call { limit_ms: 12_000, ..stage.call("look") }).await;
+        client.stream.write_all(&frames::bare(32, 77)).await.unwrap();
+        let mut heard = Vec::new();
+        while let Some(what) = client.hear().await {
+            heard.push(what);
+        }
+        let took = (stage.clock.now() - told) / MILLI;
+        assert!((3_000..3_650).contains(&took), "{took} ms");
+        ending.await.unwrap();
+        assert_eq!(heard[..2], [Heard::GoAway, Heard::Ready { stream: 77, code: Code::Throttled as u8 }]);
+        let codes = heard[2..].iter().map(|h| match h {
+            Heard::Answer(a) => a.code,
+            other => panic!("{other:?}"),
+        });
+        assert_eq!(codes.collect::<Vec<_>>(), [Code::Errored as u8; 2], "both may have run");
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+/// New versions of what is loaded, on a quiet day: all copies are gone at once. No wave of orders follows (the ration is
+/// judged on the traffic), and all is served again.
+#[test]
+fn copies_that_are_all_gone_at_once_are_loaded_again_without_a_wave() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1, 2], 256).await;
+        let mut client = stage.client().await;
+        let ask = |n: u64| Call { function: 700 + n % 12, limit_ms: 2_500, ..stage.call("look") };
+        let orders = || {
+            let of =
+                |w: u32| stage.invokers[&w].arrived.borrow().iter().filter(|a| a.method == "PUT").count();
+            of(1) + of(2)
+        };
+        for n in 0..120 {
+            client.ask(&ask(n)).await;
+            answer(&mut client).await;
+        }
+        let before = orders();
+        stage.invokers.values().for_each(|i| i.spoilt.set(Spoilt::Miss));
+        for n in 0..12 {
+            client.ask(&ask(n)).await;
+        }
+        pass(200).await;
+        let wave = orders() - before;
+        stage.invokers.values().for_each(|i| i.spoilt.set(Spoilt::No));
+        for _ in 0..12 {
+            answer(&mut client).await;
+        }
+        // Stated are 3 and a tenth of the 132 that were taken; all copies together would be 24.
+        assert!((1..=16).contains(&wave), "{wave} orders for 12 functions");
+        for n in 0..60 {
+            client.ask(&ask(n)).await;
+            assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+        }
+        assert_eq!(stage.broken(), [0u8; 0]);
+    });
+}
+
+/// Every path of the settings, with what it holds.
+fn paths(at: String, v: &Value, all: &mut Vec<String>) {
+    match v {
+        Value::Object(inside) => inside.iter().for_each(|(k, v)| paths(format!("{at}/{k}"), v, all)),
+        Value::Array(items) => items.iter().enumerate().for_each(|(i, v)| paths(format!("{at}/{i}"), v, all)),
+        _ => all.push(at),
+    }
+}
+
+thread_local! {
+    static READ: RefCell<(usize, usize)> = const { RefCell::new((0, 0)) };
+}
+
+/// Another customer's settings: any two values drawn anew, left out, zero or at an edge. The file is refused in one line,
+/// or the controller starts, answers each invocation once and in time, and keeps what is judged on the traffic.
+#[test]
+fn drawn_settings_are_refused_in_one_line_or_served_by_the_rules() {
+    let mut all = Vec::new();
+    let base: Value = serde_json::from_str(&configuration(&[1, 2], 256)).unwrap();
+    paths("/settings".into(), &base["settings"], &mut all);
+    let value = prop_oneof![
+        Just(None),
+        prop_oneof![
+            Just(0.0),
+            Just(0.1),
+            Just(1.0),
+            Just(7.0),
+            Just(50.0),
+            Just(400.0),
+            Just(1e7),
+            Just(-1.0)
+        ]
+        .prop_map(|n| Some(json!(n))),
+        prop_oneof![
+            Just(""),
+            Just("safe"),
+            Just("zone"),
+            Just("cell"),
+            Just("miss"),
+            Just("load"),
+            Just("ä. b/c")
+        ]
+        .prop_map(|t| Some(json!(t))),
+        any::<bool>().prop_map(|b| Some(json!(b))),
+    ];
+    let change = (prop::sample::select(all), value);
+    let seeded =
+        Config { cases: 800, rng_seed: RngSeed::Fixed(29), failure_persistence: None, ..Config::default() };
+    READ.take();
+    let done = TestRunner::new(seeded).run(&prop::collection::vec(change, 1..3), |changes| {
+        let text = changed(|c| {
+            for (path, value) in &changes {
+                match value {
+                    Some(value) => c.pointer_mut(path).into_iter().for_each(|at| *at = value.clone()),
+                    None => {
+                        let (parent, name) = path.rsplit_once('/').unwrap();
+                        if let Some(parent) = c.pointer_mut(parent).and_then(Value::as_object_mut) {
+                            parent.remove(name);
+                        }
+                    }
+                }
+            }
+        });
+        match config::read(&text) {
+            Err(fault) => {
+                READ.with_borrow_mut(|r| r.1 += 1);
+                let said = fault.to_string();
+                prop_assert!(!said.contains('\n') && said.len() < 300, "{said}");
+            }
+            Ok(config) => {
+                READ.with_borrow_mut(|r| r.0 += 1);
+                served(&text, &config.trigger_names, &config.deployment);
+            }
+        }
+        Ok(())
+    });
+    done.unwrap();
+    let (started, refused) = READ.take();
+    assert!(started > 100 && refused > 100, "{started} started, {refused} refused");
+}
+
+/// One invocation of each type, with a drain among them: each is answered once, within its time and the half second after.
+fn served(text: &str, names: &[String], d: &Deployment) {
+    let (names, timeouts) = (names.to_vec(), d.trigger_types.iter().map(|t| t.client_timeout / MILLI));
+    let timeouts: Vec<u64> = timeouts.collect();
+    staged(|| async move {
+        let stage = Stage::with(by_design, &[1, 2], text).await;
+        let mut client = stage.client().await;
+        let mut owed = 0;
+        for round in 0..3u64 {
+            for (name, timeout) in names.iter().zip(&timeouts).filter(|(_, t)| **t > 0) {
+                let token = Some(format!("{:032x}", 100 + owed));
+                let limit_ms = (*timeout).min(800);
+                client.ask(&Call { token, limit_ms, trigger: name.clone(), ..stage.call("look") }).await;
+                owed += 1;
+            }
+            if round == 1 {
+                stage.feed.say(2, Event::Changes(vec![listing(1, invoker_at(1), Life::Draining, None)]));
+            }
+            pass(30).await;
+        }
+        let mut streams = std::collections::BTreeSet::new();
+        for _ in 0..owed {
+            let heard = tokio::time::timeout(Duration::from_millis(1_500), client.hear()).await;
+            match heard {
+                Ok(Some(Heard::Answer(a))) => assert!(streams.insert(a.stream), "answered twice: {a:?}"),
+                other => panic!("{other:?} with {owed} owed, {} answered, on {text}", streams.len()),
+            }
+        }
+        let more = tokio::time::timeout(Duration::from_millis(600), client.hear()).await;
+        assert!(more.is_err(), "{more:?} after all was answered");
+    });
+}
+
+/// Noise in place of a frame of the feed: it is asked again, and what it told stands.
+#[test]
+fn noise_from_the_feed_changes_nothing() {
+    staged(|| async {
+        let stage = Stage::new(by_design, &[1], 256).await;
+        let (network, at) = (stage.network.clone(), feed_at(3));
+        let asked = Rc::new(RefCell::new(Vec::new()));
+        let seen = asked.clone();
+        spawn_local(async move {
+            let (mut door, _) = network.listen(&Address::Tcp(at.to_string())).await.unwrap();
+            while let Ok(mut stream) = door.accept().await {
+                let Ok(last) = stream.read_u64().await else { continue };
+                seen.borrow_mut().push(last);
+                let noise =
+                    [encode(1, &Event::Nothing), vec![0, 0, 0, 10, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9]].concat();
+                let _ = stream.write_all(&Bytes::from(noise)).await;
+                pass(50).await;
+            }
+        });
+        stage.front.seat.feed.moves(at);
+        pass(3_000).await;
+        let asked = asked.borrow().clone();
+        assert!((5..40).contains(&asked.len()) && asked.iter().all(|n| *n == 1), "{asked:?}");
+        let mut client = stage.client().await;
+        client.ask(&stage.call("look")).await;
+        assert_eq!(answer(&mut client).await.code, Code::Succeeded as u8);
+    });
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,4 +19,6 @@
 #[cfg(test)]
 mod crossings;
 #[cfg(test)]
+mod in_time;
+#[cfg(test)]
 mod tests;
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use saltdrum::port::*;
 use saltdrum_controller::{Decides, Make, by_design};
-use saltdrum_day::{State as Kept, check::check};
+use saltdrum_day::State as Kept;
+use saltdrum_day::check::{check, sent_on_after_leaving};
 use saltdrum_link::{Address, Clock, Memory, Network};
 use saltdrum_platform_wire::config;
 use saltdrum_platform_wire::feed::Event;
@@ -25,16 +26,16 @@
 use tokio::task::{LocalSet, spawn_local};
 
 const WHO: Who = Who { controller: 1, incarnation: 1 };
-const UNIX_MS: u64 = 1_800_000_000_000;
+pub(crate) const UNIX_MS: u64 = 1_800_000_000_000;
 const TAKES: Duration = Duration::from_millis(40);
 /// In ms: after it a line that was answered on is used again.
-const RESTED: u64 = 70;
+pub(crate) const RESTED: u64 = 70;
 
 fn address(text: &str) -> SocketAddrV4 {
     text.parse().unwrap()
 }
 
-fn invoker_at(invoker: u32) -> SocketAddrV4 {
+pub(crate) fn invoker_at(invoker: u32) -> SocketAddrV4 {
     address(&format!("10.1.0.{invoker}:7001"))
 }
 
@@ -42,11 +43,11 @@
     address("10.0.0.4:7001")
 }
 
-fn feed_at(n: u8) -> SocketAddrV4 {
+pub(crate) fn feed_at(n: u8) -> SocketAddrV4 {
     address(&format!("10.2.0.{n}:8500"))
 }
 
-fn configuration(invokers: &[u32], sockets: usize) -> String {
+pub(crate) fn configuration(invokers: &[u32], sockets: usize) -> String {
     let invokers: Vec<_> = invokers.iter().map(|w| (*w, invoker_at(*w))).collect();
     configuration_at(here(), feed_at(1), &invokers, sockets)
 }
@@ -118,25 +119,30 @@
 }
 
 /// A controller and its peers.
-struct Stage {
-    network: Rc<dyn Network>,
-    clock: Clock,
+pub(crate) struct Stage {
+    pub network: Rc<dyn Network>,
+    pub clock: Clock,
     record: Record,
-    invokers: BTreeMap<u32, Rc<HttpInvoker>>,
+    pub invokers: BTreeMap<u32, Rc<HttpInvoker>>,
     hops: Rc<RefCell<BTreeMap<u64, u8>>>,
-    feed: Rc<Feed>,
-    front: Rc<Front>,
+    pub feed: Rc<Feed>,
+    pub front: Rc<Front>,
     next: Cell<u64>,
 }
 
 impl Stage {
-    async fn new(make: Make, invokers: &[u32], sockets: usize) -> Self {
+    pub async fn new(make: Make, invokers: &[u32], sockets: usize) -> Self {
+        Self::with(make, invokers, &configuration(invokers, sockets)).await
+    }
+
+    /// With a configuration of its own.
+    pub async fn with(make: Make, invokers: &[u32], text: &str) -> Self {
         let (network, clock): (Rc<dyn Network>, _) = (Rc::new(Memory::default()), Clock::start());
         let (record, hops) = (Record::default(), Rc::default());
         record.note(stated());
         let feed = Feed::new(WHO, record.clone(), clock);
         spawn_local(feed.clone().serve(network.clone(), feed_at(1)));
-        let config = config::read(&configuration(invokers, sockets)).unwrap();
+        let config = config::read(text).unwrap();
         let started = start(config, UNIX_MS, network.clone(), clock, make).await;
         let front = started.unwrap_or_else(|e| panic!("{e}"));
         let (next, none) = (Cell::new(0), BTreeMap::new());
@@ -146,18 +152,18 @@
         stage
     }
 
-    fn invoker(&mut self, w: u32, at: SocketAddrV4) {
+    pub fn invoker(&mut self, w: u32, at: SocketAddrV4) {
         let (record, hops) = (self.record.clone(), self.hops.clone());
         let invoker = HttpInvoker::new(w, WHO, TAKES, hops, record, self.clock);
         spawn_local(invoker.clone().serve(self.network.clone(), at));
         self.invokers.insert(w, invoker);
     }
 
-    async fn client(&self) -> FrameClient {
+    pub async fn client(&self) -> FrameClient {
         FrameClient::dial(&*self.network, here(), WHO, self.record.clone(), self.clock).await.unwrap()
     }
 
-    fn call(&self, trigger: &str) -> Call {
+    pub fn call(&self, trigger: &str) -> Call {
         self.next.set(self.next.get() + 1);
         let n = self.next.get();
         let token = (trigger == "charge").then(|| format!("{n:032x}"));
@@ -170,27 +176,29 @@
         (sizes, self.front.seat.clients.sizes(), in_flight)
     }
 
-    /// Rules that were broken, by the record.
-    fn broken(&self) -> Vec<u8> {
-        let verdicts = check(&self.record.take()).unwrap();
+    /// Rules that were broken, by the record; 6: something was sent on long after its client had left.
+    pub fn broken(&self) -> Vec<u8> {
+        let lines = self.record.take();
+        let (verdicts, late) = (check(&lines).unwrap(), sent_on_after_leaving(&lines));
+        late.iter().for_each(|f| println!("{f:?}"));
         let broken: Vec<_> = verdicts.iter().filter(|v| v.state != Kept::Kept).collect();
         broken.iter().for_each(|v| println!("{v:?}"));
-        broken.iter().map(|v| v.rule).collect()
+        broken.iter().map(|v| v.rule).chain(late.first().map(|_| 6)).collect()
     }
 }
 
-async fn pass(ms: u64) {
+pub(crate) async fn pass(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-fn staged<F: Future<Output = ()>>(play: impl FnOnce() -> F) {
+pub(crate) fn staged<F: Future<Output = ()>>(play: impl FnOnce() -> F) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
     LocalSet::new().block_on(&runtime, play());
 }
 
 thread_local! {
-    static TOLD: RefCell<Vec<(Outcome, bool)>> = const { RefCell::new(Vec::new()) };
+    pub(crate) static TOLD: RefCell<Vec<(Outcome, bool)>> = const { RefCell::new(Vec::new()) };
 }
 
 /// What is dispatched for it is cancelled in the same turn.
@@ -199,7 +207,7 @@
 /// Sends everything to invoker 1 and answers by what came of it; keeps what it was told.
 pub(crate) struct First;
 
-fn first(_: Tenths, _: Deployment, _: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
+pub(crate) fn first(_: Tenths, _: Deployment, _: u64, _: &mut dyn Acts) -> Box<dyn Decides> {
     TOLD.take();
     Box::new(First)
 }
@@ -225,7 +233,7 @@
     fn woken(&mut self, _: Tenths, _: u64, _: &mut dyn Acts) {}
 }
 
-async fn answer(client: &mut FrameClient) -> Answered {
+pub(crate) async fn answer(client: &mut FrameClient) -> Answered {
     match client.hear().await {
         Some(Heard::Answer(answered)) => answered,
         other => panic!("{other:?} where an answer was expected"),
@@ -821,6 +829,31 @@
     });
 }
 
+/// A gateway that does not care who still waits, as a record of its traffic.
+#[test]
+fn the_checker_catches_what_is_sent_on_for_who_has_left() {
+    for (after, caught) in [(250, false), (301, true)] {
+        let (of, at) = (saltdrum_standin::record::Try { n: 1, attempt: 0 }, 1_000 * MILLI);
+        let sent_on = at + after * MILLI;
+        let (invoker, invocation, hop, trigger) = (1, 1, 0, "look".to_owned());
+        let lines = [
+            stated(),
+            Line::HungUp { at, of },
+            Line::Dispatched {
+                at: sent_on,
+                earliest: sent_on,
+                invoker,
+                who: WHO,
+                invocation,
+                hop,
+                of,
+                trigger,
+            },
+        ];
+        assert_eq!(!sent_on_after_leaving(&lines).is_empty(), caught, "{after} ms");
+    }
+}
+
 #[test]
 fn the_checker_catches_who_floods_a_cold_one() {
     staged(|| async {
