--- a/crates/platform/src/crossings.rs
+++ b/crates/platform/src/crossings.rs
@@ -10,7 +10,9 @@
 use saltdrum_controller::desk::Told;
 use saltdrum_link::{Address, Clock, Listener, Network, Sockets, Stream};
 use saltdrum_platform_wire::config;
+use saltdrum_platform_wire::feed::Event;
 use saltdrum_platform_wire::frames::{self, Code};
+use saltdrum_standin::platform::listing;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io::{ErrorKind, Read, Write};
@@ -685,3 +687,44 @@
         });
     }
 }
+
+/// Sound, by test: an answer in pieces of one byte, with 1xx before it, is one answer.
+#[test]
+fn an_answer_in_pieces_of_one_byte_is_read_whole() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        client.write(&stage.call(2).0);
+        let mut line = stage.line().await;
+        line.asked().await;
+        for byte in [&b"HTTP/1.1 102 Processing\r\n\r\n"[..], &http("piecemeal")].concat() {
+            line.write(&[byte]);
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(client.hear().await, (17, 2, [&[79, 0][..], b"piecemeal"].concat()));
+    });
+}
+
+/// Sound, by test: a drain that is heard while a dial is under way. What has not begun to leave half a grace later never
+/// does, whenever the dial comes up; and it is told as never run.
+#[test]
+fn a_dial_that_comes_up_after_a_drain_sends_nothing() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        let mut client = stage.known().await;
+        let dials = stage.network.waiting.get();
+        stage.network.shut.set(true);
+        client.write(&stage.call(2).0);
+        until(|| stage.network.waiting.get() > dials).await;
+        let at = stage.invoker.local_addr().unwrap().to_string().parse().unwrap();
+        let draining = Event::Changes(vec![listing(1, at, Life::Draining, None)]);
+        crate::feed::hear(&stage.front, 2, &draining).unwrap();
+        assert_eq!(client.hear().await.2[0], Code::Throttled as u8, "it never ran");
+        stage.network.shut.set(false);
+        stage.network.opened.notify_waiters();
+        client.write(&[stage.call(4).0, frames::bare(32, 5).to_vec()].concat());
+        let heard = [client.hear().await.1, client.hear().await.1];
+        assert!(heard.contains(&4) && heard.contains(&5));
+        assert!(stage.nothing_came());
+    });
+}
