A configuration still being written at SIGHUP is read again for a second

Now a bad file is read again ten times, 100 ms apart, told of once. The test on the built binary writes the second half once the first has been refused; without the mend it waits for the new feed in vain (seen).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -283,3 +283,27 @@
     let expected: Vec<_> = (1..=5).map(|n| (17, n, [&[79, 0][..], b"done"].concat())).collect();
     assert_eq!(heard, expected);
 }
+
+/// Found by reading: half a file was read, and the rest of it, for which no second signal comes, never.
+#[test]
+fn a_file_that_is_still_being_written_at_the_signal_is_read_when_it_is_whole() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, invoker) = (free_address(), invoker(Duration::ZERO));
+    let ((feed_one, asked_one), (feed_two, asked_two)) = (feed(), feed());
+    let text = configuration(&listen, &feed_two, &invoker).to_string();
+    let config = write(folder.path(), &configuration(&listen, &feed_one, &invoker).to_string());
+    let mut running =
+        Running(saltdrum(&config).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap());
+    assert_eq!(asked_one.recv_timeout(LONG).unwrap(), 1);
+    write(folder.path(), &text[..text.len() / 2]);
+    running.signal(Signal::HUP);
+    // It has said that the half is bad before the rest is written.
+    let mut said = std::io::BufReader::new(running.0.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("the new configuration is bad") {
+        line.clear();
+        assert!(std::io::BufRead::read_line(&mut said, &mut line).unwrap() > 0, "it ended");
+    }
+    write(folder.path(), &text);
+    assert_eq!(asked_two.recv_timeout(LONG).unwrap(), 1);
+}
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -10,7 +10,7 @@
 use saltdrum_link::{Address, Clock, Network, turning};
 use saltdrum_platform_wire::config::{self, Config};
 use saltdrum_platform_wire::feed::Event;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -19,6 +19,10 @@
 
 /// For so long after SIGTERM invocations still come, on connections old and new.
 const STILL_COME: Duration = Duration::from_millis(800);
+/// A bad file is read again so often and so many times: a second in all, well within the 4 s after which what the feed has
+/// to tell counts as told.
+const REREAD_EVERY: Duration = Duration::from_millis(100);
+const REREADS: usize = 10;
 /// How often it is looked whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// The platform kills what was told to end no sooner than the longest client timeout, counted as this where it is longer,
@@ -92,14 +96,14 @@
         tokio::select! {
             biased;
             _ = ends.recv() => break,
-            _ = reloads.recv() => reload(&life, &front),
+            _ = reloads.recv() => reload(&life.config, &front),
         }
     }
     let signals = async {
         loop {
             tokio::select! {
                 _ = ends.recv() => {}
-                _ = reloads.recv() => reload(&life, &front),
+                _ = reloads.recv() => reload(&life.config, &front),
             }
         }
     };
@@ -162,20 +166,31 @@
     Ok(front)
 }
 
-/// A file that is bad or half-written changes nothing.
-fn reload(life: &Life, front: &Front) {
-    let place = life.config.display().to_string();
-    let text = match std::fs::read_to_string(&life.config) {
-        Ok(text) => text,
-        Err(why) => return warn!(place, %why, "the configuration can't be read again: the old one stands"),
-    };
-    match config::read_feed(&text) {
-        Ok(address) => {
-            info!(%address, "configuration read again");
-            front.seat.feed.moves(address);
+/// A file that is bad changes nothing. It may be one that is still being written when the signal comes, and no second
+/// signal tells of its end: so it is read again for a while.
+fn reload(config: &Path, front: &Rc<Front>) {
+    let Err(why) = follow_file(config, front) else { return };
+    warn!(%why, "the new configuration is bad: the old one stands");
+    let (config, front) = (config.to_owned(), front.clone());
+    spawn_local(async move {
+        for _ in 0..REREADS {
+            tokio::time::sleep(REREAD_EVERY).await;
+            if follow_file(&config, &front).is_ok() {
+                return;
+            }
         }
-        Err(fault) => warn!(place, %fault, "the new configuration is bad: the old one stands"),
-    }
+    });
+}
+
+/// Follows the feed where the file says that it is.
+fn follow_file(config: &Path, front: &Front) -> Result<(), Failure> {
+    let place = config.display().to_string();
+    let text =
+        std::fs::read_to_string(config).map_err(|why| Failure::Unreadable { place: place.clone(), why })?;
+    let address = config::read_feed(&text).map_err(|fault| Failure::Config { place, fault })?;
+    info!(%address, "configuration read again");
+    front.seat.feed.moves(address);
+    Ok(())
 }
 
 /// Takes what still comes, answers all that was taken, then ends.
