Drawn settings hold whole numbers at their edges too

Whole-number fields (tries, controllers, zone) were only ever refused by the drawn values, as these had a fraction: 0, 1, 2 and 255 are drawn as well now. All that starts answers each invocation once and in time.

--- a/crates/platform/src/in_time.rs
+++ b/crates/platform/src/in_time.rs
@@ -282,6 +282,7 @@
         ]
         .prop_map(|t| Some(json!(t))),
         any::<bool>().prop_map(|b| Some(json!(b))),
+        prop_oneof![Just(0), Just(1), Just(2), Just(255)].prop_map(|n: i64| Some(json!(n))),
     ];
     let change = (prop::sample::select(all), value);
     let seeded =
