--- a/crates/day/src/check.rs
+++ b/crates/day/src/check.rs
@@ -236,6 +236,26 @@
     found
 }
 
+/// Outputs that no invoker made for the try they were answered to.
+pub fn outputs_of_others(lines: &[Line]) -> Vec<Finding> {
+    let mut made = BTreeSet::new();
+    let mut found = Vec::new();
+    for line in lines {
+        match line {
+            Line::Made { of, output, .. } => {
+                made.insert((*of, output.as_str()));
+            }
+            Line::Output { at, of, output } if !made.contains(&(*of, output.as_str())) => {
+                let text =
+                    format!("invocation {}.{} was answered '{output}', made for another", of.n, of.attempt);
+                found.push(Finding { at: *at, text });
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
 fn ms(t: Tenths) -> f64 {
     t as f64 / MILLI as f64
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -7,7 +7,7 @@
 use saltdrum::port::*;
 use saltdrum_controller::{Decides, Make, by_design};
 use saltdrum_day::State as Kept;
-use saltdrum_day::check::{check, sent_on_after_leaving};
+use saltdrum_day::check::{check, outputs_of_others, sent_on_after_leaving};
 use saltdrum_link::{Address, Clock, Memory, Network};
 use saltdrum_platform_wire::config;
 use saltdrum_platform_wire::feed::Event;
@@ -176,14 +176,21 @@
         (sizes, self.front.seat.clients.sizes(), in_flight)
     }
 
-    /// Rules that were broken, by the record; 6: something was sent on long after its client had left.
+    /// Rules that were broken, by the record; 6: something was sent on long after its client had left; 7: an output went to
+    /// another than it was made for.
     pub fn broken(&self) -> Vec<u8> {
         let lines = self.record.take();
         let (verdicts, late) = (check(&lines).unwrap(), sent_on_after_leaving(&lines));
-        late.iter().for_each(|f| println!("{f:?}"));
+        let others = outputs_of_others(&lines);
+        late.iter().chain(&others).for_each(|f| println!("{f:?}"));
         let broken: Vec<_> = verdicts.iter().filter(|v| v.state != Kept::Kept).collect();
         broken.iter().for_each(|v| println!("{v:?}"));
-        broken.iter().map(|v| v.rule).chain(late.first().map(|_| 6)).collect()
+        broken
+            .iter()
+            .map(|v| v.rule)
+            .chain(late.first().map(|_| 6))
+            .chain(others.first().map(|_| 7))
+            .collect()
     }
 }
 
@@ -854,6 +861,27 @@
     }
 }
 
+/// A gateway that hands the output of one to another: two clients whose streams it has exchanged.
+#[test]
+fn the_checker_catches_outputs_that_are_anothers() {
+    for exchanged in [false, true] {
+        staged(|| async move {
+            let stage = Stage::new(first, &[1], 256).await;
+            let (mut client, mut other) = (stage.client().await, stage.client().await);
+            for one in [&mut client, &mut other] {
+                one.ask(&stage.call("look")).await;
+            }
+            if exchanged {
+                std::mem::swap(&mut client.stream, &mut other.stream);
+            }
+            for one in [&mut client, &mut other] {
+                answer(one).await;
+            }
+            assert_eq!(stage.broken(), if exchanged { vec![7] } else { vec![] });
+        });
+    }
+}
+
 #[test]
 fn the_checker_catches_who_floods_a_cold_one() {
     staged(|| async {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -176,6 +176,8 @@
             self.record.note(Line::Ended { at, invoker, who, invocation, hop, of, ended, told });
         };
         let body = format!("ran {txn} {}", a.body.len());
+        let at = self.clock.now();
+        self.record.note(Line::Made { at, invoker, of, output: body.clone() });
         let well =
             format!("HTTP/1.1 200 OK\r\nX-How: resident\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let (text, goes_on) = match spoilt {
@@ -470,6 +472,10 @@
                 let later = fields.iter().find(|(n, _)| n == "later").map(|(_, v)| v);
                 let later_ms = later.and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
                 self.note(stream, code);
+                if let Some(of) = self.open.get(&stream).filter(|_| code == Code::Succeeded as u8) {
+                    let (at, output) = (self.clock.now(), String::from_utf8_lossy(&frame).into_owned());
+                    self.record.note(Line::Output { at, of: *of, output });
+                }
                 Heard::Answer(Answered { stream, code, later_ms, body: frame })
             }
             kind => panic!("frame type {kind} from a controller"),
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -92,6 +92,19 @@
         at: Tenths,
         of: Try,
     },
+    /// By an invoker: the output that it made for this try.
+    Made {
+        at: Tenths,
+        invoker: u32,
+        of: Try,
+        output: String,
+    },
+    /// By the client: the output of a final answer that succeeded.
+    Output {
+        at: Tenths,
+        of: Try,
+        output: String,
+    },
     /// By the client: the controller's side closed the connection before the answer.
     CutOff {
         at: Tenths,
