Who is let in after the last answers of an ending controller is not taken

Cause, by rereading leave() in life.rs: where client timeouts are under 0.3 s the door shuts in the turn in which the rest is answered, and a connection accepted from its queue after that was attended to as any other; the process ends 0.4 s later with what it took. Now a connection made after close() begins as one that is to end (clients.rs). The test was seen to fail without that line. No site seen here has client timeouts so short.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -102,6 +102,8 @@
     shut: Notify,
     /// The door is shut, and whoever had come to it is in.
     is_shut: Cell<bool>,
+    /// All is settled: nothing is taken any more, on whatever connection.
+    is_closed: Cell<bool>,
 }
 
 impl Clients {
@@ -144,6 +146,7 @@
 
     /// Ends all connections, each once what it is owed has left.
     pub fn close(&self) {
+        self.is_closed.set(true);
         for client in self.all.borrow().values() {
             client.closing.set(true);
             client.outbox.close();
@@ -265,7 +268,7 @@
         active: Cell::new(None),
         partial_since: Cell::new(None),
         cut: Notify::new(),
-        closing: Cell::new(false),
+        closing: Cell::new(front.seat.clients.is_closed.get()),
         hurried: Cell::new(false),
         told_away: Cell::new(false),
     });
--- a/crates/platform/src/crossings.rs
+++ b/crates/platform/src/crossings.rs
@@ -728,3 +728,23 @@
         assert!(stage.nothing_came());
     });
 }
+
+/// Found by rereading: who was let in after the last answers had been given, as with client timeouts so short that the door
+/// shuts in that turn, was taken by a process that had no time left for it.
+#[test]
+fn who_comes_in_after_the_last_answers_is_not_taken() {
+    staged(|| async {
+        let stage = Stage::new().await;
+        stage.front.seat.clients.close();
+        let mut late = stage.client();
+        late.write(&stage.call(1).0);
+        until(|| {
+            late.look();
+            late.ended
+        })
+        .await;
+        assert!(late.read.is_empty());
+        assert_eq!(stage.front.see(|s| s.desk.counts.taken), 0);
+        assert!(stage.nothing_came());
+    });
+}
