--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,7 +45,8 @@
 const COLD_MARGIN: f64 = 0.6; // how far our part of what a cold invoker may get is kept under the multiple
 const COME_BACK: Tenths = 8; // a throttled client may come back after this part of the objective
 const LAST_CALL: Tenths = 10 * MILLI; // lead of a final answer on the client timeout
-const RANK_MORE: usize = 8; // so many are ranked beyond a pool, and twice as many as are wanted when more are
+const TURN_STEPS: u64 = 50_000; // pools are filled in one turn until so many invokers were looked at
+const RANK_MORE: usize = 24; // so many are ranked beyond a pool: on the mean twice as many, to rank seldom
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15; // spreads function ids before an invoker's is mixed in
 type Next = Box<dyn FnOnce(&mut Controller, &mut dyn Acts)>; // what a step's result is handed to
 
@@ -185,6 +186,7 @@
     rows: Vec<Row>,
     invokers: BTreeMap<InvokerId, Invoker>,
     ready: BTreeMap<InvokerId, (f64, u64)>, // size, and the version of the list since which it is so
+    ready_list: Vec<(InvokerId, f64)>,      // the same, to be gone through at once
     ready_size: f64,
     came: VecDeque<(u64, InvokerId)>, // who came to be ready, and at which version: all after the first's
     copies: BTreeSet<(InvokerId, FnId)>, // the places of all functions
@@ -312,6 +314,7 @@
         let mut changed: Vec<InvokerId> = entries.iter().map(|l| l.invoker).collect();
         changed.extend(self.invokers.keys().filter(|_| whole));
         changed.into_iter().for_each(|w| self.stand(w));
+        self.ready_list = self.ready.iter().map(|(w, s)| (*w, s.0)).collect();
         self.size = self.size.max(self.ready_size);
     }
 
@@ -325,8 +328,7 @@
             self.ready.extend(size.map(|size| (w, (size, self.list_version))));
             self.came.extend(size.map(|_| (self.list_version, w)));
         }
-        // To follow more than there are to rank is no less work than to rank anew.
-        let long = self.came.len() > self.ready.len();
+        let long = self.came.len() > self.ready.len(); // to follow more costs no less than to rank anew
         self.came.pop_front_if(|_| long);
     }
 
@@ -472,8 +474,7 @@
             Some(_) => c.send(id, acts),
             None => {}
         });
-        let moved = false;
-        inv.out = Some(Dispatch { invoker, sent, due, warm, moved, uncrowded, run, next });
+        inv.out = Some(Dispatch { invoker, sent, due, warm, moved: false, uncrowded, run, next });
         inv.hops += 1;
         acts.dispatch(id, invoker, 0);
     }
@@ -510,9 +511,7 @@
         let (p, row) = (f.places.entry(w).or_default(), &mut self.rows[call.trigger]);
         let (ratio, stalled) = ((took / d.run.max(1.0)).min(10.0), self.awake > d.sent);
         let slow = v.slow(now, fleet);
-        self.out -= 1;
-        v.out -= 1;
-        p.out -= 1;
+        (self.out, v.out, p.out) = (self.out - 1, v.out - 1, p.out - 1);
         if !matches!(a.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
             let late = now.saturating_sub(v.heard.max(d.due)) as f64;
             if late > 0.0 && !stalled {
@@ -578,11 +577,7 @@
         let still = move |c: &Self| c.invs.get(&id).is_some_and(|inv| inv.decided == decided);
         let Some(f) = self.functions.get_mut(&inv.call.function) else { return };
         let then = |go: fn(&mut Self, InvId, &mut dyn Acts)| -> Next {
-            Box::new(move |c, acts| {
-                if still(c) {
-                    go(c, id, acts)
-                }
-            })
+            Box::new(move |c, acts| _ = still(c).then(|| go(c, id, acts)))
         };
         f.places.entry(w).or_default().waiting.push(then(Self::send));
         self.later(last, acts, then(|c, id, acts| c.settle(id, 0, acts)));
@@ -614,13 +609,13 @@
             }
             r.version = self.list_version;
         }
+        self.rank_steps += want.min(ready.len()) as u64;
         while r.head.len() < want.min(ready.len()) {
-            // Twice as many are to be expected up to there; if chance gave fewer, twice as far.
             let far = (2.0 * want as f64 / self.ready_size).max(2.0 * r.held);
             r.held = if 4 * want > ready.len() { f64::INFINITY } else { far };
             self.rank_steps += ready.len() as u64;
-            let near = |(w, s): (&InvokerId, &(f64, u64))| Some((weight(fid, *w, s.0, r.held)?, *w));
-            r.head = ready.iter().filter_map(near).collect();
+            let near = |(w, size): &(InvokerId, f64)| Some((weight(fid, *w, *size, r.held)?, *w));
+            r.head = self.ready_list.iter().filter_map(near).collect();
         }
         r.head.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     }
@@ -762,7 +757,8 @@
             room -= f.memory;
         }
         want.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let part = ready as f64 / f64::from(self.d.controllers);
+        let (part, filled) =
+            (ready as f64 / f64::from(self.d.controllers), self.to_fill.len() <= self.functions.len());
         self.moves = (self.moves + part).min(part.max(1.0));
         for (_, fid, members) in want {
             let Some(f) = self.functions.get_mut(&fid) else { continue };
@@ -773,7 +769,7 @@
             } else if now >= *f.surplus_since.get_or_insert(now) + DWELL {
                 (f.members, f.surplus_since) = (f.members - 1, Some(now));
             }
-            self.to_fill.push_back(fid);
+            self.to_fill.extend(filled.then_some(fid));
         }
         self.fills = self.to_fill.len().div_ceil(FILL_TURNS);
     }
@@ -922,8 +918,12 @@
         let late = |(w, due)| due < lost || (due < now && silent.contains(&w));
         let late: Vec<_> = self.invs.iter().filter(|i| owed(i.1).is_some_and(late)).map(|i| *i.0).collect();
         late.into_iter().for_each(|id| self.move_off(id, acts));
-        let fill: Vec<FnId> = self.to_fill.drain(..self.fills.min(self.to_fill.len())).collect();
-        fill.into_iter().for_each(|fid| self.fill_pool(fid, acts));
+        let most = self.rank_steps + TURN_STEPS;
+        for _ in 0..self.fills {
+            let spent = self.rank_steps >= most;
+            let Some(fid) = self.to_fill.pop_front_if(|_| !spent) else { break };
+            self.fill_pool(fid, acts);
+        }
     }
 
     /// A cancel, whose outcome sends it on, if a try is left and a repeat does no harm.
