--- a/crates/scale/src/controller.rs
+++ b/crates/scale/src/controller.rs
@@ -134,7 +134,11 @@
 }
 
 impl Hollow {
-    fn after(&mut self, takes: Tenths, then: impl FnOnce(&mut saltdrum_controller::desk::State<Self>) + 'static) {
+    fn after(
+        &mut self,
+        takes: Tenths,
+        then: impl FnOnce(&mut saltdrum_controller::desk::State<Self>) + 'static,
+    ) {
         let Some(front) = self.front.upgrade() else { return };
         let at = self.clock.now() + takes;
         spawn_local(async move {
@@ -244,7 +248,8 @@
     let (begun, began_cpu) = (clock.now(), thread_cpu_ns());
     let end = begun + course.load_s * SECOND;
     let (mut next, mut event, mut row) = (begun, begun + course.event_every_s * SECOND / 2, Row::default());
-    let (mut zone_goes, mut zone_back) = (begun + course.load_s * SECOND / 2, end - course.load_s * SECOND / 4);
+    let (mut zone_goes, mut zone_back) =
+        (begun + course.load_s * SECOND / 2, end - course.load_s * SECOND / 4);
     if !course.zone {
         (zone_goes, zone_back) = (Tenths::MAX, Tenths::MAX);
     }
--- a/crates/scale/src/members.rs
+++ b/crates/scale/src/members.rs
@@ -106,7 +106,11 @@
 }
 
 impl AsyncRead for Counted {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, b: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        b: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let before = b.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, b);
         self.bytes.set(self.bytes.get() + (b.filled().len() - before) as u64);
@@ -329,7 +333,8 @@
     }
     let heard: Rc<RefCell<Heard>> = Rc::default();
     for n in 0..size.followers {
-        let (network, list) = (ether.host(&format!("follower-{n}")), at(&format!("list-{}", 1 + n % STEWARDS)));
+        let (network, list) =
+            (ether.host(&format!("follower-{n}")), at(&format!("list-{}", 1 + n % STEWARDS)));
         spawn_local(follow(network, list, clock, heard.clone()));
     }
     let mut rng = fastrand::Rng::with_seed(size.seed);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -668,7 +668,7 @@
         let some_warm = f.places.keys().any(|w| f.warm(*w, now, self.d.keep_alive));
         for (i, (_, w)) in f.ranking.head.iter().enumerate() {
             let (v, p) = (&self.invokers[w], f.places.get(w));
-            let warm = f.warm(*w, now, self.d.keep_alive);
+            let warm = p.is_some_and(|p| p.warm && (p.out > 0 || now < p.touched + self.d.keep_alive));
             let cooling = self.d.misses && !warm && p.is_some_and(|p| now < p.cooldown);
             let refuses = v.refused.get(&(inv.call.tenant, inv.call.trigger)).is_some_and(|r| now < r.1);
             let barred = cooling || refuses || !left || inv.tried.contains(w);
