--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -4,6 +4,7 @@
 use saltdrum_scale::controller::{self, Course};
 use saltdrum_scale::fit::fit;
 use saltdrum_scale::members;
+use saltdrum_scale::real;
 use saltdrum_scale::world::Load;
 use serde::Serialize;
 use serde_json::Value;
@@ -15,6 +16,24 @@
     Controller(OfController),
     /// Stewards, members and followers of the list at each size, over the emulated network.
     Members(OfMembers),
+    /// A real controller (`saltdrum node`) with a list of each size, at rest.
+    Node(OfNode),
+}
+
+#[derive(Args)]
+pub struct OfNode {
+    /// Lines of the list; a size each.
+    #[arg(long, value_delimiter = ',', default_values_t = [120, 1_000, 10_000])]
+    lines: Vec<u32>,
+    /// Seconds it is watched for, of real time.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// A line of JSON a size.
+    #[arg(long)]
+    json: bool,
+    /// In this process: for one size.
+    #[arg(long, hide = true)]
+    here: bool,
 }
 
 #[derive(Args)]
@@ -77,7 +96,7 @@
 /// Columns of a table: its title, and where its figure is in a row.
 type Column = (&'static str, &'static str);
 
-const CONTROLLER: [Column; 14] = [
+const CONTROLLER: [Column; 15] = [
     ("invokers", "/invokers"),
     ("functions", "/functions"),
     ("us a call", "/us_an_invocation"),
@@ -86,9 +105,10 @@
     ("control %", "/control_share"),
     ("quiet %", "/quiet_share"),
     ("turn ms", "/longest_ms"),
+    ("of calls", "/invoked/longest_ms"),
     ("of list", "/listed/longest_ms"),
     ("of timers", "/timers/longest_ms"),
-    ("MB half", "/memory_half_mb"),
+    ("whole list", "/whole/longest_ms"),
     ("MB end", "/memory_mb"),
     ("ranked held", "/ranked_held"),
     ("rank steps", "/rank_steps"),
@@ -111,6 +131,9 @@
     ("fleet B", "/fleet_bytes"),
 ];
 
+const NODE: [Column; 4] =
+    [("lines", "/lines"), ("% of a core", "/share"), ("MB", "/memory_mb"), ("start, CPU ms", "/start_ms")];
+
 fn number(row: &Value, at: &str) -> f64 {
     let n = row.pointer(at).and_then(Value::as_f64).unwrap_or(f64::NAN);
     if at.ends_with("share") { n * 100.0 } else { n }
@@ -223,5 +246,19 @@
             }
             sweep(sizes, &MEMBERS, m.json)
         }
+        Scale::Node(n) => {
+            let mut sizes = Vec::new();
+            for lines in &n.lines {
+                if n.here {
+                    let binary = std::env::current_exe().map_err(|e| e.to_string())?;
+                    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+                    return told(&real::run(&binary, folder.path(), *lines, n.seconds)?);
+                }
+                let mut size: Vec<String> = ["scale", "node", "--here"].map(String::from).into();
+                size.extend(words(&[("lines", lines.to_string()), ("seconds", n.seconds.to_string())]));
+                sizes.push(size);
+            }
+            sweep(sizes, &NODE, n.json)
+        }
     }
 }
--- a/crates/scale/src/controller.rs
+++ b/crates/scale/src/controller.rs
@@ -45,11 +45,14 @@
     pub control_share: f64,
     /// Of a core, while nothing is called.
     pub quiet_share: f64,
+    /// Whole lists, and changes of it.
+    pub whole: TurnsTold,
     pub listed: TurnsTold,
     pub invoked: TurnsTold,
     pub answered: TurnsTold,
     pub timers: TurnsTold,
     pub held: TurnsTold,
+    /// Of all but whole lists.
     pub longest_ms: f64,
     /// Resident, above what the process had before the controller was made; at half of the load and at its end.
     pub memory_half_mb: f64,
@@ -65,6 +68,7 @@
 
 #[derive(Default)]
 struct Tally {
+    whole: Turns,
     listed: Turns,
     invoked: Turns,
     answered: Turns,
@@ -75,7 +79,7 @@
 
 impl Tally {
     fn total_ns(&self) -> u64 {
-        let all = [&self.listed, &self.invoked, &self.answered, &self.timers, &self.held];
+        let all = [&self.whole, &self.listed, &self.invoked, &self.answered, &self.timers, &self.held];
         all.iter().map(|t| t.total_ns).sum()
     }
 }
@@ -97,7 +101,8 @@
 
 impl Decides for Metered {
     fn listed(&mut self, now: Tenths, whole: bool, entries: &[Listed]) {
-        self.turn(|t| &mut t.listed, |c| c.listed(now, whole, entries));
+        let of: fn(&mut Tally) -> &mut Turns = if whole { |t| &mut t.whole } else { |t| &mut t.listed };
+        self.turn(of, |c| c.listed(now, whole, entries));
     }
     fn invoked(&mut self, now: Tenths, call: Invocation, acts: &mut dyn Acts) {
         self.turn(|t| &mut t.invoked, |c| c.invoked(now, call, acts));
@@ -302,7 +307,7 @@
     {
         let t = tally.borrow();
         (row.listed, row.invoked, row.answered) = (t.listed.told(), t.invoked.told(), t.answered.told());
-        (row.timers, row.held) = (t.timers.told(), t.held.told());
+        (row.timers, row.held, row.whole) = (t.timers.told(), t.held.told(), t.whole.told());
         let turns = [&row.listed, &row.invoked, &row.answered, &row.timers, &row.held];
         row.longest_ms = turns.iter().map(|t| t.longest_ms).fold(0.0, f64::max);
         let load_ns = course.load_s as f64 * 1e9;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,11 +5,11 @@
 //! size; [`fit`] makes slopes of rows. Processor time is the thread's own ([`meter`]), so that a busy machine stretches it
 //! little; memory is the process's resident set, so each size wants a process of its own.
 //!
-//! It decides nothing. What it does not do: sockets, kernels, schedulers, clients. Those are the same at every size, and
-//! `docs/CAPACITY.md` sets real processes beside hollow ones.
+//! [`real`] sets a process of the binary beside them. It decides nothing. What the hollow ones do not have: sockets, kernels, schedulers, clients.
 
 pub mod controller;
 pub mod fit;
 pub mod members;
 pub mod meter;
+pub mod real;
 pub mod world;
