--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -51,7 +51,7 @@
 fn one(d: &Deployment, seed: u64, part: f64) -> Vec<(InvokerId, Tenths)> {
     let mut rng = fastrand::Rng::with_seed(seed ^ 0xc01d);
     let rate = LOAD * f64::from(INVOKERS) * CORES / RUN as f64 * part;
-    let restart = (seed % 5 == 0).then(|| COLD - RESTARTS + seed / 5 % 16 * SECOND / 2);
+    let restart = seed.is_multiple_of(5).then(|| COLD - RESTARTS + seed / 5 % 16 * SECOND / 2);
     let (mut bed, mut all) = (Bed::seeded(d.clone(), INVOKERS, seed), Vec::new());
     bed.k.even = false;
     let (mut next, mut replaced_at, mut restarted) = (bed.k.now, false, false);
