--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -28,6 +28,13 @@
     /// Seconds it is watched for, of real time.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    #[command(flatten)]
+    shown: Shown,
+}
+
+/// How rows are shown.
+#[derive(Args)]
+pub struct Shown {
     /// A line of JSON a size.
     #[arg(long)]
     json: bool,
@@ -64,12 +71,8 @@
     zone: bool,
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// A line of JSON a size.
-    #[arg(long)]
-    json: bool,
-    /// In this process: for one size.
-    #[arg(long, hide = true)]
-    here: bool,
+    #[command(flatten)]
+    shown: Shown,
 }
 
 #[derive(Args)]
@@ -85,12 +88,8 @@
     rest_s: u64,
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// A line of JSON a size.
-    #[arg(long)]
-    json: bool,
-    /// In this process: for one size.
-    #[arg(long, hide = true)]
-    here: bool,
+    #[command(flatten)]
+    shown: Shown,
 }
 
 /// Columns of a table: its title, and where its figure is in a row.
@@ -204,7 +203,7 @@
                 for functions in &c.functions {
                     let (rate, skew, seed) = (c.rate, c.skew, c.seed);
                     let load = Load { invokers: *invokers, functions: *functions, rate, skew, seed };
-                    if c.here {
+                    if c.shown.here {
                         let (load_s, quiet_s, event_every_s) = (c.load_s, c.quiet_s, c.event_every_s);
                         let course = Course { load_s, quiet_s, event_every_s, zone: c.zone };
                         return told(&controller::run(&load, &course));
@@ -224,14 +223,14 @@
                     sizes.push(size);
                 }
             }
-            sweep(sizes, &CONTROLLER, c.json)
+            sweep(sizes, &CONTROLLER, c.shown.json)
         }
         Scale::Members(m) => {
             let mut sizes = Vec::new();
             for members in &m.members {
                 for followers in &m.followers {
                     let (members, followers, rest_s, seed) = (*members, *followers, m.rest_s, m.seed);
-                    if m.here {
+                    if m.shown.here {
                         return told(&members::run(&members::Size { members, followers, rest_s, seed }));
                     }
                     let mut size: Vec<String> = ["scale", "members", "--here"].map(String::from).into();
@@ -244,12 +243,12 @@
                     sizes.push(size);
                 }
             }
-            sweep(sizes, &MEMBERS, m.json)
+            sweep(sizes, &MEMBERS, m.shown.json)
         }
         Scale::Node(n) => {
             let mut sizes = Vec::new();
             for lines in &n.lines {
-                if n.here {
+                if n.shown.here {
                     let binary = std::env::current_exe().map_err(|e| e.to_string())?;
                     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
                     return told(&real::run(&binary, folder.path(), *lines, n.seconds)?);
@@ -258,7 +257,7 @@
                 size.extend(words(&[("lines", lines.to_string()), ("seconds", n.seconds.to_string())]));
                 sizes.push(size);
             }
-            sweep(sizes, &NODE, n.json)
+            sweep(sizes, &NODE, n.shown.json)
         }
     }
 }
