Sizes that can't be neither hide other invokers nor hold a ranking up

Cause, found by reading: the fleet's size was kept by adding and subtracting; with a size of 1e300 or infinity it could end as nothing or less, and a head that is to grow by it never did. Now it is summed anew with the dense list, and a head that would not grow takes all.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -315,6 +315,7 @@
         changed.extend(self.invokers.keys().filter(|_| whole));
         changed.into_iter().for_each(|w| self.stand(w));
         self.ready_list = self.ready.iter().map(|(w, s)| (*w, s.0)).collect();
+        self.ready_size = self.ready_list.iter().map(|r| r.1).sum();
         self.size = self.size.max(self.ready_size);
     }
 
@@ -323,7 +324,6 @@
         let v = self.invokers.get(&w).filter(|v| v.listed.life == Life::Ready);
         let (size, before) = (v.map(|v| v.listed.size.max(0.01)), self.ready.get(&w).map(|r| r.0));
         if size != before {
-            self.ready_size += size.unwrap_or(0.0) - before.unwrap_or(0.0);
             self.ready.remove(&w);
             self.ready.extend(size.map(|size| (w, (size, self.list_version))));
             self.came.extend(size.map(|_| (self.list_version, w)));
@@ -612,7 +612,7 @@
         self.rank_steps += want.min(ready.len()) as u64;
         while r.head.len() < want.min(ready.len()) {
             let far = (2.0 * want as f64 / self.ready_size).max(2.0 * r.held);
-            r.held = if 4 * want > ready.len() { f64::INFINITY } else { far };
+            r.held = if 4 * want > ready.len() || far <= r.held { f64::INFINITY } else { far };
             self.rank_steps += ready.len() as u64;
             let near = |(w, size): &(InvokerId, f64)| Some((weight(fid, *w, *size, r.held)?, *w));
             r.head = self.ready_list.iter().filter_map(near).collect();
--- a/tests/ranking.rs
+++ b/tests/ranking.rs
@@ -34,7 +34,9 @@
     }
 
     fn line(&mut self, w: InvokerId, life: Life) -> Listed {
-        let size = [0.5, 1.0, 2.5, 4.0][self.rng.usize(..4)];
+        // Now and then one that nobody should list: it must neither hide the others nor hold them up.
+        let odd = self.rng.u32(..200) == 0;
+        let size = if odd { 1e300 } else { [0.5, 1.0, 2.5, 4.0][self.rng.usize(..4)] };
         match life {
             Life::Ready => self.ready.insert(w, size),
             Life::Draining | Life::Gone => self.ready.remove(&w),
@@ -189,3 +191,22 @@
     assert!(most <= 50_000 + 2 * 3_000 + 700, "{most} looks in a turn");
     assert!(most > 1_000, "{most}: something was ranked");
 }
+
+/// Found by reading: where sizes added up to more than a number holds, or to nothing, the head never grew, and its ranking
+/// never ended.
+#[test]
+fn sizes_that_can_not_be_end_no_less_than_others() {
+    for odd in [f64::INFINITY, f64::MAX, 0.0, -1e300, f64::NAN] {
+        let mut fleet = Fleet::new(300, 5);
+        let lines: Vec<Listed> =
+            (1..=3).map(|w| Listed { size: odd, ..listed(w, Life::Ready, None) }).collect();
+        fleet.bed.list(false, &lines);
+        (0..20).for_each(|function| assert_eq!(fleet.asked(function, 40).len(), 40, "{odd}"));
+        let gone: Vec<Listed> = (1..=3).map(|w| listed(w, Life::Gone, None)).collect();
+        gone.iter().for_each(|l| fleet.ready.retain(|w, _| *w != l.invoker));
+        fleet.bed.list(false, &gone);
+        for function in 0..20 {
+            assert_eq!(fleet.asked(function, 2), whole(function, &fleet.ready)[..2], "{odd}");
+        }
+    }
+}
