Platform logs how old the endpoint list is, and counts what invokers turn away

Now each loss says how old the list is, the first complete frame after it says so with for how long nothing came, drains are logged with the number of their event, and the counters of each second hold what invokers turned away and the list's number and age. Why a feed is lost is a type in place of a string. No decision changes.

--- a/crates/controller/src/invocations.rs
+++ b/crates/controller/src/invocations.rs
@@ -33,8 +33,12 @@
     pub answered_too_late: u64,
     /// Attempts made.
     pub attempts: u64,
+    /// Attempts that their invoker turned away: it was full, or draining.
+    pub attempts_turned_away: u64,
     /// Load orders given.
     pub load_orders: u64,
+    /// Load orders that their invoker turned away: it had no room, or was draining.
+    pub load_orders_turned_away: u64,
     /// Connections to invokers that broke.
     pub broken_connections: u64,
     /// Stops of the process that were noticed.
@@ -327,6 +331,7 @@
             .span
             .in_scope(|| debug!(?outcome, duration_ms = duration / MILLISECOND));
         table.timers.remove(&ended.timer);
+        table.counters.attempts_turned_away += u64::from(outcome == Outcome::Full);
         let (invoker, dispatch) = (ended.invoker, ended.dispatch);
         table
             .transport
@@ -365,6 +370,8 @@
             return;
         };
         table.timers.remove(&ended.timer);
+        let is_turned_away = outcome == LoadOutcome::NoCapacity;
+        table.counters.load_orders_turned_away += u64::from(is_turned_away);
         table.transport.load_ended(invoker, order);
         let duration = table.now - ended.sent_at;
         debug!(
--- a/crates/platform/src/acceptor.rs
+++ b/crates/platform/src/acceptor.rs
@@ -71,7 +71,7 @@
     for round in 1u64.. {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         if round.is_multiple_of(VIEW_LOG_SWEEPS) && tracing::enabled!(tracing::Level::INFO) {
-            handle.inspect(log_invoker_views);
+            handle.inspect(|state| log_invoker_views(state, &handle.config.feed));
         }
         let now = handle.clock.now();
         handle.config.clients.close_overdue(now);
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -2,10 +2,14 @@
 
 use crate::invoker_pools::apply_list_change;
 use crate::state::ControllerHandle;
-use saltdrum::interface::{MILLISECOND, Ticks};
-use saltdrum_platform_wire::feed::{Event, cut};
+use saltdrum::interface::{InvokerStatus, MILLISECOND, Ticks};
+use saltdrum_platform_wire::Malformed;
+use saltdrum_platform_wire::feed::{EndpointRecord, Event, cut, id_text};
 use saltdrum_transport::{Address, ArrivalReader, ReadBacklog, Stream};
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -24,23 +28,51 @@
 const BACKOFF_FIRST: Ticks = 100 * MILLISECOND;
 const BACKOFF_MAX: Ticks = 400 * MILLISECOND;
 
-/// Address of the feed, and the number of the last event applied.
+/// Why a connection to the feed is not followed any more.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum WatchError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+    #[error("no connection in time")]
+    NoConnection,
+    #[error("silent")]
+    Silent,
+    #[error("hung up")]
+    Closed,
+    #[error("events to {told} after {last}: they were expected before")]
+    Untold { told: u64, last: u64 },
+    #[error("event {number} after {last}: the next was expected")]
+    Gap { number: u64, last: u64 },
+}
+
+/// Address of the feed, the number of the last event applied, and how long the feed has been lost.
 pub(crate) struct EndpointWatch {
-    address: RefCell<std::net::SocketAddrV4>,
+    address: RefCell<SocketAddrV4>,
     moved: Notify,
     last: Cell<u64>,
     /// What lies in the machine of the connection that is followed.
     backlog: RefCell<ReadBacklog>,
+    /// The earliest time at which the last complete frame can have arrived; before the first, when the controller started.
+    heard_at: Cell<Ticks>,
+    /// Since when the feed is lost: nothing complete came since.
+    lost_since: Cell<Option<Ticks>>,
+    /// How often a connection to the feed was lost, or was not made.
+    losses: Cell<u64>,
 }
 
 impl EndpointWatch {
-    pub fn new(address: std::net::SocketAddrV4, last: u64) -> Self {
-        let backlog = RefCell::new(ReadBacklog::none());
+    /// A feed that was not heard yet; the list up to event `last` was known at `now`.
+    pub fn new(address: SocketAddrV4, last: u64, now: Ticks) -> Self {
         Self {
             address: RefCell::new(address),
             moved: Notify::new(),
             last: Cell::new(last),
-            backlog,
+            backlog: RefCell::new(ReadBacklog::none()),
+            heard_at: Cell::new(now),
+            lost_since: Cell::new(None),
+            losses: Cell::new(0),
         }
     }
 
@@ -49,17 +81,56 @@
         self.backlog.borrow().is_behind()
     }
 
-    #[cfg(test)]
+    /// Number of the last event applied.
     pub fn last(&self) -> u64 {
         self.last.get()
     }
 
+    /// How long ago the last complete frame came.
+    pub fn age(&self, now: Ticks) -> Ticks {
+        now.saturating_sub(self.heard_at.get())
+    }
+
+    /// How often a connection to the feed was lost, or was not made.
+    pub fn losses(&self) -> u64 {
+        self.losses.get()
+    }
+
     /// It is elsewhere from now on; its numbers go on.
-    pub fn moves(&self, to: std::net::SocketAddrV4) {
+    pub fn moves(&self, to: SocketAddrV4) {
         if self.address.replace(to) != to {
             self.moved.notify_one();
         }
     }
+
+    /// A complete frame came, at `came` or later.
+    fn heard(&self, now: Ticks, came: Ticks) {
+        self.heard_at.set(came.max(self.heard_at.get()));
+        if let Some(since) = self.lost_since.take() {
+            warn!(
+                address = %self.address.borrow(),
+                out_for_ms = now.saturating_sub(since) / MILLISECOND,
+                losses = self.losses.get(),
+                last = self.last.get(),
+                "control feed heard again"
+            );
+        }
+    }
+
+    /// A connection to the feed was lost, or was not made.
+    fn connection_lost(&self, now: Ticks, reason: &WatchError) {
+        self.losses.set(self.losses.get() + 1);
+        self.lost_since
+            .set(self.lost_since.get().or(Some(self.heard_at.get())));
+        warn!(
+            address = %self.address.borrow(),
+            why = %reason,
+            last = self.last.get(),
+            list_age_ms = self.age(now) / MILLISECOND,
+            losses = self.losses.get(),
+            "control feed lost, the last list stands"
+        );
+    }
 }
 
 pub(crate) async fn watch(handle: Rc<ControllerHandle>) {
@@ -67,21 +138,21 @@
     let mut rng = fastrand::Rng::with_seed(handle.config.seed ^ 0xfeed);
     loop {
         let before = feed.last.get();
-        let why = tokio::select! {
+        let reason = tokio::select! {
             biased;
             () = feed.moved.notified() => {
                 info!(address = %feed.address.borrow(), "control feed address changed");
                 wait = BACKOFF_FIRST;
                 continue;
             }
-            why = watch_connection(&handle) => why,
+            Err(reason) = watch_connection(&handle) => reason,
         };
         wait = if feed.last.get() > before {
             BACKOFF_FIRST
         } else {
             (2 * wait).min(BACKOFF_MAX)
         };
-        warn!(address = %feed.address.borrow(), why, last = feed.last.get(), "control feed lost, the last list stands");
+        feed.connection_lost(handle.clock.now(), &reason);
         tokio::select! {
             biased;
             () = feed.moved.notified() => {}
@@ -90,38 +161,23 @@
     }
 }
 
-async fn watch_connection(handle: &Rc<ControllerHandle>) -> String {
+async fn watch_connection(handle: &Rc<ControllerHandle>) -> Result<Infallible, WatchError> {
     let feed = &handle.config.feed;
     let address = Address::Tcp(feed.address.borrow().to_string());
-    let mut stream =
-        match tokio::time::timeout(CONNECT_TIMEOUT, handle.network.dial(&address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return e.to_string(),
-            Err(_) => return "no connection in time".into(),
-        };
-    if let Err(e) = stream.write_all(&feed.last.get().to_be_bytes()).await {
-        return e.to_string();
-    }
+    let dialled = tokio::time::timeout(CONNECT_TIMEOUT, handle.network.dial(&address)).await;
+    let mut stream = dialled.map_err(|_| WatchError::NoConnection)??;
+    stream.write_all(&feed.last.get().to_be_bytes()).await?;
     let mut read = ArrivalReader::new(stream, handle.clock, handle.event_loop.clone());
     feed.backlog.replace(read.backlog());
     // Only whole frames break a silence: one that comes byte by byte tells nothing.
     let mut due = handle.clock.now() + FIRST_FRAME_TIMEOUT;
     let mut came = handle.clock.now();
     loop {
-        match cut(&mut read.bytes) {
-            Err(e) => return e.to_string(),
-            Ok(Some((number, event))) => {
-                if let Err(why) = handle_event(handle, came, number, &event) {
-                    return why;
-                }
-                due = handle.clock.now() + SILENCE_TIMEOUT;
-                continue;
-            }
-            Ok(None) => {}
-        }
-        match read_by(handle, &mut read, due).await {
-            Ok(at) => came = at,
-            Err(why) => return why,
+        if let Some((number, event)) = cut(&mut read.bytes)? {
+            handle_event(handle, came, number, &event)?;
+            due = handle.clock.now() + SILENCE_TIMEOUT;
+        } else {
+            came = read_by(handle, &mut read, due).await?;
         }
     }
 }
@@ -132,20 +188,16 @@
     handle: &ControllerHandle,
     read: &mut ArrivalReader<Stream>,
     due: Ticks,
-) -> Result<Ticks, String> {
+) -> Result<Ticks, WatchError> {
     let mut more = std::pin::pin!(read.read_more());
     let got = match tokio::time::timeout_at(handle.clock.instant(due), &mut more).await {
         Ok(got) => got,
         Err(_) => {
             let looked = tokio::time::timeout(LAST_POLL_TIMEOUT, more).await;
-            looked.map_err(|_| String::from("silent"))?
+            looked.map_err(|_| WatchError::Silent)?
         }
     };
-    match got {
-        Ok(Some(came)) => Ok(came),
-        Ok(None) => Err("hung up".into()),
-        Err(e) => Err(e.to_string()),
-    }
+    got?.ok_or(WatchError::Closed)
 }
 
 /// One event that came at this time or later; `Err`: some were missed, and have to be asked for.
@@ -154,39 +206,44 @@
     came: Ticks,
     number: u64,
     event: &Event,
-) -> Result<(), String> {
-    let last = &handle.config.feed.last;
+) -> Result<(), WatchError> {
+    let feed = &handle.config.feed;
+    let last = feed.last.get();
     let (whole, lines) = match event {
         // It carries the number of the last event: a later one than ours was never told us.
-        Event::Nothing if number > last.get() => {
-            return Err(format!(
-                "events to {number} after {}: they were expected before",
-                last.get()
-            ));
+        Event::Nothing if number > last => return Err(WatchError::Untold { told: number, last }),
+        Event::Nothing => {
+            feed.heard(handle.clock.now(), came);
+            return Ok(());
         }
-        Event::Nothing => return Ok(()),
         // Written twice: heard once.
-        _ if number <= last.get() => return Ok(()),
-        Event::Changes(_) if number > last.get() + 1 => {
-            return Err(format!(
-                "event {number} after {}: the next was expected",
-                last.get()
-            ));
-        }
+        _ if number <= last => return Ok(()),
+        Event::Changes(_) if number > last + 1 => return Err(WatchError::Gap { number, last }),
         Event::Whole(lines) => (true, lines),
         Event::Changes(lines) => (false, lines),
     };
-    let waited_most_ms = handle.clock.now().saturating_sub(came) / MILLISECOND;
+    let now = handle.clock.now();
+    log_event(number, whole, lines, now.saturating_sub(came));
+    feed.last.set(number);
+    feed.heard(now, came);
+    handle.update(|state| apply_event(handle, state, came, whole, lines));
+    Ok(())
+}
+
+/// Logs an event, and each invoker in it that takes no new work.
+fn log_event(number: u64, whole: bool, lines: &[EndpointRecord], waited: Ticks) {
     info!(
         number,
         whole,
         lines = lines.len(),
-        waited_most_ms,
+        waited_most_ms = waited / MILLISECOND,
         "control feed event received"
     );
-    last.set(number);
-    handle.update(|state| apply_event(handle, state, came, whole, lines));
-    Ok(())
+    let not_ready = lines.iter().filter(|l| l.life != InvokerStatus::Ready);
+    for line in not_ready {
+        let id = id_text(line.invoker);
+        info!(number, id, status = ?line.life, "invoker takes no new work");
+    }
 }
 
 pub(crate) fn apply_event(
@@ -194,7 +251,7 @@
     state: &mut crate::state::ControllerState,
     came: Ticks,
     whole: bool,
-    lines: &[saltdrum_platform_wire::feed::EndpointRecord],
+    lines: &[EndpointRecord],
 ) {
     let now = state.invocations.now;
     handle.config.look_at_wall_clock(now);
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -1,19 +1,20 @@
 //! The periodic log of counters and of the policy's view of each invoker.
 
 use super::RequestKind;
+use crate::endpoint_watch::EndpointWatch;
 use crate::state::ControllerState;
-use saltdrum::interface::InvokerView;
+use saltdrum::interface::{InvokerView, MILLISECOND};
 use tracing::info;
 
 /// Logs the counters, and what the policy believes of each invoker beside what is on its sockets.
-pub(crate) fn log_invoker_views(state: &ControllerState) {
-    log_counters(state);
+pub(crate) fn log_invoker_views(state: &ControllerState, feed: &EndpointWatch) {
+    log_counters(state, feed);
     for view in state.policy.invoker_views(state.invocations.now) {
         log_invoker_view(state, &view);
     }
 }
 
-fn log_counters(state: &ControllerState) {
+fn log_counters(state: &ControllerState, feed: &EndpointWatch) {
     let transport = &state.invocations.transport;
     let counters = &state.invocations.counters;
     let sizes = state.policy.table_sizes();
@@ -26,12 +27,17 @@
         left = counters.client_left,
         too_late = counters.answered_too_late,
         dispatches = counters.attempts,
+        turned_away = counters.attempts_turned_away,
         orders = counters.load_orders,
+        orders_turned_away = counters.load_orders_turned_away,
         orders_counted = sizes.loads_counted,
         invocations_counted = sizes.invocations_counted,
         in_flight = state.invocations.in_flight(),
         lines = transport.open.get(),
         held_bytes = transport.held_bytes.get(),
+        list_event = feed.last(),
+        list_age_ms = feed.age(state.invocations.now) / MILLISECOND,
+        feed_losses = feed.losses(),
         "counts"
     );
 }
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -194,7 +194,7 @@
         tenant_names: config.tenant_names,
         budget,
         clients: Clients::default(),
-        feed: EndpointWatch::new(config.feed, config.known.0),
+        feed: EndpointWatch::new(config.feed, config.known.0, now),
         wall_clock_history: RefCell::new(WallClockHistory::new(wall_clock(), now)),
         wall_clock,
     };
