--- a/crates/cli/tests/fault_mix/record.rs
+++ b/crates/cli/tests/node_day/record.rs
@@ -38,6 +38,8 @@
 /// A request, as its client saw it.
 #[derive(Debug)]
 pub struct Request {
+    /// When its connection was made.
+    pub connected: Instant,
     pub asked: Instant,
     pub limit: Duration,
     pub effect: Effect,
@@ -60,16 +62,44 @@
     pub invoker: usize,
 }
 
+/// A span in which nothing new may come to an invoker.
+#[derive(Debug)]
+pub struct NotReady {
+    pub invoker: usize,
+    /// From then on, grace and slack included.
+    pub from: Instant,
+    /// Until then; none: to the end.
+    pub until: Option<Instant>,
+}
+
+impl NotReady {
+    /// Since `told`, when the controller was told or counts as told.
+    pub fn since(invoker: usize, told: Instant) -> Self {
+        let from = told + DRAIN_GRACE + SLACK;
+        Self {
+            invoker,
+            from,
+            until: None,
+        }
+    }
+
+    fn forbids(&self, invoker: usize, at: Instant) -> bool {
+        invoker == self.invoker && at > self.from && self.until.is_none_or(|until| at < until)
+    }
+}
+
 #[derive(Default)]
 pub struct Record {
     pub requests: BTreeMap<u64, Request>,
     pub attempts: Vec<Attempt>,
     /// When each order to load had arrived, and where.
     pub orders: Vec<(Instant, usize)>,
-    /// From when on nothing new may come to an invoker, grace and slack included.
-    pub drained: BTreeMap<usize, Instant>,
+    /// When invokers took no new work.
+    pub not_ready: Vec<NotReady>,
     /// When the process was stopped, or ran in turns only.
     pub stops: Vec<(Instant, Instant)>,
+    /// When it was killed: what it held then is no longer its duty, and its budget of load orders begins anew.
+    pub kills: Vec<Instant>,
 }
 
 impl Record {
@@ -80,6 +110,11 @@
             .all(|(began, ended)| *ended <= from || *began >= to)
     }
 
+    /// Whether the process was killed between two moments.
+    fn was_killed(&self, from: Instant, to: Instant) -> bool {
+        self.kills.iter().any(|kill| *kill >= from && *kill < to)
+    }
+
     /// What broke a rule, in words.
     pub fn breaks(&self) -> Vec<String> {
         let mut breaks = Vec::new();
@@ -87,15 +122,34 @@
         self.effects(&mut breaks);
         self.attempts_alone(&mut breaks);
         self.load_orders(&mut breaks);
+        breaks.extend(self.work_past_grace());
         breaks
     }
 
+    /// Of the requests asked within a span: how many there were, and how many were served in time.
+    pub fn served_within(&self, from: Instant, to: Instant) -> (usize, usize) {
+        let asked = self
+            .requests
+            .values()
+            .filter(|r| r.asked >= from && r.asked < to && r.left.is_none());
+        let served = asked.clone().filter(|r| {
+            r.answers
+                .first()
+                .is_some_and(|a| a.1 == Code::Served && a.0 <= r.asked + r.limit)
+        });
+        (asked.count(), served.count())
+    }
+
     fn answers(&self, breaks: &mut Vec<String>) {
         for (id, request) in &self.requests {
             if request.answers.len() > 1 {
                 breaks.push(format!("{id}: {} answers", request.answers.len()));
             }
             let over = request.asked + request.limit + SLACK;
+            // What is written to a connection after its process was killed was never taken.
+            if self.was_killed(request.connected, over) {
+                continue;
+            }
             let is_owed =
                 request.left.is_none_or(|left| left >= over) && self.ran(request.asked, over);
             let in_time = request
@@ -177,19 +231,23 @@
                 breaks.push(format!("{id}: sent on {gone:?} after its client left"));
             }
         }
-        let new_work = self
-            .attempts
-            .iter()
-            .map(|a| (a.arrived, a.invoker))
-            .chain(self.orders.clone());
-        for (arrived, invoker) in new_work {
-            if let Some(until) = self.drained.get(&invoker).filter(|until| arrived > **until) {
-                breaks.push(format!(
-                    "invoker {invoker}: new work {:?} after its grace",
-                    arrived - *until
-                ));
-            }
-        }
+    }
+
+    /// New work at invokers that drain or are gone, past the grace: attempts and load orders alike.
+    pub fn work_past_grace(&self) -> Vec<String> {
+        let attempts = self.attempts.iter().map(|a| (a.arrived, a.invoker));
+        let new_work = attempts.chain(self.orders.clone());
+        let broken = new_work.filter_map(|(at, invoker)| {
+            let span = self
+                .not_ready
+                .iter()
+                .find(|span| span.forbids(invoker, at))?;
+            let late = at - span.from;
+            Some(format!(
+                "invoker {invoker}: new work {late:?} after its grace"
+            ))
+        });
+        broken.collect()
     }
 
     fn load_orders(&self, breaks: &mut Vec<String>) {
@@ -197,9 +255,12 @@
             let orders = self
                 .orders
                 .iter()
-                .filter(|o| o.0 <= *at && o.0 + ORDER_WINDOW > *at)
+                .filter(|o| o.0 <= *at && o.0 + ORDER_WINDOW > *at && !self.was_killed(o.0, *at))
                 .count();
-            let came = |r: &&Request| r.asked <= *at && r.asked + ORDER_WINDOW + SLACK > *at;
+            let came = |r: &&Request| {
+                let is_within = r.asked <= *at && r.asked + ORDER_WINDOW + SLACK > *at;
+                is_within && !self.was_killed(r.asked, *at)
+            };
             let requests = self.requests.values().filter(came).count();
             let most = (ORDERS_FREE + ORDERS_SHARE * requests as f64) * WIDENED + WIDENED_ORDERS;
             if orders as f64 > most {
