Invokers vouch for themselves while the endpoint list is out of reach

Class: the absence of news was taken for the absence of change.

Change: a list vouches for its invokers for its lifetime alone (2 s after the last frame that shows that all events are known, and half the drain grace); at a start, not before the feed was heard. Past that an invoker is asked itself (GET /healthz) before new work, attempts and load orders alike; the answer, or work that it took, is good for half the drain grace. Who says no is ejected, and may be cold when it comes back. The deadline goes down to the socket, so that a slow dial or a stop of the process does not carry work past it. Decisions: src/policy/readiness.rs. Deployments whose list has no lifetime (simulator, native path) decide as before.

A test counted connections while the list had not been heard; it waits for the first frame now and asks for the same.

--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -72,6 +72,9 @@
         seen.ordered.push(now);
         return b"HTTP/1.1 200 OK\r\nX-Units: 1\r\nContent-Length: 0\r\n\r\n";
     }
+    if head.starts_with("GET /healthz") {
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    }
     if let (Some(txn), Some(limit)) = (field(head, "x-txn"), field(head, "x-limit-ms")) {
         let limit = Duration::from_millis(limit.parse().unwrap());
         seen.attempted
--- a/crates/controller/src/invocations.rs
+++ b/crates/controller/src/invocations.rs
@@ -9,7 +9,7 @@
 use crate::transport::{AttemptReport, InvokerTransport};
 use saltdrum::interface::{
     AttemptResult, Deployment, FunctionId, Invocation, InvocationId, InvokerId, LoadOutcome,
-    LoadResult, MILLISECOND, Outcome, Ticks,
+    LoadResult, MILLISECOND, Outcome, ProbeResult, Ticks,
 };
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{Span, debug, warn};
@@ -356,6 +356,12 @@
         self.invocations.forget_if_finished(id);
     }
 
+    /// A probe has ended.
+    pub fn probe_ended(&mut self, result: ProbeResult) {
+        self.policy
+            .probe_ended(self.invocations.now, result, &mut self.invocations);
+    }
+
     /// A load order has ended.
     pub fn load_ended(
         &mut self,
--- a/crates/controller/src/invocations/actions.rs
+++ b/crates/controller/src/invocations/actions.rs
@@ -6,7 +6,7 @@
 use crate::transport::{AttemptReport, InvokerTransport, OutgoingDispatch};
 use saltdrum::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, MILLISECOND, Outcome,
-    Ticks,
+    ProbeResult, Ticks,
 };
 use tracing::{debug, info, info_span};
 
@@ -160,9 +160,13 @@
     }
 
     fn load(&mut self, invoker: InvokerId, function: FunctionId, count: u8) {
+        self.load_by(invoker, function, count, Ticks::MAX);
+    }
+
+    fn load_by(&mut self, invoker: InvokerId, function: FunctionId, count: u8, send_by: Ticks) {
         self.counters.load_orders += 1;
         let now = self.now;
-        match self.transport.load(now, invoker, function, count) {
+        match self.transport.load(now, invoker, function, count, send_by) {
             Ok(order) => {
                 let function_id = format_args!("{function:016x}");
                 debug!(
@@ -192,7 +196,16 @@
     }
 
     fn probe(&mut self, invoker: InvokerId) {
-        self.transport.probe(self.now, invoker);
+        let now = self.now;
+        if let Err(outcome) = self.transport.probe(now, invoker) {
+            let result = ProbeResult {
+                invoker,
+                outcome,
+                sent_at: now,
+                duration: 0,
+            };
+            self.defer(Box::new(move |state| state.probe_ended(result)));
+        }
     }
 
     fn set_timer(&mut self, at: Ticks, token: u64) {
--- a/crates/controller/src/native/state.rs
+++ b/crates/controller/src/native/state.rs
@@ -8,7 +8,8 @@
 use crate::shutdown::ShutdownHandle;
 use crate::transport::{AttemptReport, InvokerTransport, OutgoingDispatch};
 use saltdrum::interface::{
-    FunctionId, InvocationId, InvokerId, LoadOutcome, MILLISECOND, Outcome, StartKind, Ticks,
+    FunctionId, InvocationId, InvokerId, LoadOutcome, MILLISECOND, Outcome, ProbeOutcome,
+    StartKind, Ticks,
 };
 use saltdrum_deployment::Terms;
 use saltdrum_protocol::{invoker as wire, rpc};
@@ -212,6 +213,7 @@
         invoker: InvokerId,
         function: FunctionId,
         count: u8,
+        _: Ticks,
     ) -> Result<u64, LoadOutcome> {
         let name = self.functions.get(&function).cloned().unwrap_or_default();
         let connection = self.by_invoker.get_mut(&invoker);
@@ -232,9 +234,9 @@
         }
     }
 
-    fn probe(&mut self, _: Ticks, invoker: InvokerId) {
-        if let Some(connection) = self.by_invoker.get_mut(&invoker) {
-            connection.probe();
-        }
+    fn probe(&mut self, _: Ticks, invoker: InvokerId) -> Result<(), ProbeOutcome> {
+        let connection = self.by_invoker.get_mut(&invoker);
+        connection.ok_or(ProbeOutcome::Unreachable)?.probe();
+        Ok(())
     }
 }
--- a/crates/controller/src/policy.rs
+++ b/crates/controller/src/policy.rs
@@ -15,12 +15,20 @@
     fn attempt_ended(&mut self, now: Ticks, result: AttemptResult, actions: &mut dyn Actions);
     /// A load order has ended.
     fn load_ended(&mut self, now: Ticks, result: LoadResult, actions: &mut dyn Actions);
+    /// A probe has ended.
+    fn probe_ended(&mut self, _now: Ticks, _result: ProbeResult, _actions: &mut dyn Actions) {}
+    /// The endpoint list was heard: everything that it told up to `heard_at` is known.
+    fn endpoint_list_heard(&mut self, _now: Ticks, _heard_at: Ticks) {}
     /// A timer has come due.
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions);
     /// The view of each ready invoker, where one is kept.
     fn invoker_views(&self, _now: Ticks) -> Vec<InvokerView> {
         Vec::new()
     }
+    /// What was done where the endpoint list did not vouch for an invoker.
+    fn readiness_counts(&self) -> ReadinessCounts {
+        ReadinessCounts::default()
+    }
     /// Sizes of the tables, where they are counted.
     fn table_sizes(&self) -> TableSizes {
         TableSizes::default()
@@ -56,12 +64,21 @@
     fn load_ended(&mut self, now: Ticks, result: LoadResult, actions: &mut dyn Actions) {
         Self::load_ended(self, now, result, actions);
     }
+    fn probe_ended(&mut self, now: Ticks, result: ProbeResult, actions: &mut dyn Actions) {
+        Self::probe_ended(self, now, result, actions);
+    }
+    fn endpoint_list_heard(&mut self, now: Ticks, heard_at: Ticks) {
+        Self::endpoint_list_heard(self, now, heard_at);
+    }
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions) {
         Self::timer_fired(self, now, token, actions);
     }
     fn invoker_views(&self, now: Ticks) -> Vec<InvokerView> {
         Self::invoker_views(self, now)
     }
+    fn readiness_counts(&self) -> ReadinessCounts {
+        Self::readiness_counts(self)
+    }
     fn table_sizes(&self) -> TableSizes {
         Self::table_sizes(self)
     }
--- a/crates/controller/src/transport.rs
+++ b/crates/controller/src/transport.rs
@@ -3,7 +3,8 @@
 use crate::responder::Responder;
 use bytes::Bytes;
 use saltdrum::interface::{
-    FunctionId, InvocationId, InvokerId, LoadOutcome, LoadReport, Outcome, StartKind, Ticks,
+    FunctionId, InvocationId, InvokerId, LoadOutcome, LoadReport, Outcome, ProbeOutcome, StartKind,
+    Ticks,
 };
 
 /// An attempt on its way to an invoker.
@@ -65,13 +66,14 @@
         outcome: Outcome,
         report: &AttemptReport,
     );
-    /// Sends a load order. `Err`: it was not sent, and this is its end.
+    /// Sends a load order, nothing of which begins to be sent from `send_by` on. `Err`: it was not sent, and this is its end.
     fn load(
         &mut self,
         now: Ticks,
         invoker: InvokerId,
         function: FunctionId,
         count: u8,
+        send_by: Ticks,
     ) -> Result<u64, LoadOutcome>;
     /// When a load order had been sent completely, where that is known.
     fn load_sent_at(&self, _order: u64) -> Option<Ticks> {
@@ -81,6 +83,8 @@
     fn load_ended(&mut self, invoker: InvokerId, order: u64);
     /// Orders an invoker to unload idle instances.
     fn unload(&mut self, now: Ticks, invoker: InvokerId, function: FunctionId);
-    /// Checks an invoker's health.
-    fn probe(&mut self, now: Ticks, invoker: InvokerId);
+    /// Asks an invoker whether it takes new work. Where the policy has to know, the end is given to
+    /// [`ControllerState::probe_ended`](crate::ControllerState::probe_ended).
+    /// `Err`: it was not sent, and this is its end.
+    fn probe(&mut self, now: Ticks, invoker: InvokerId) -> Result<(), ProbeOutcome>;
 }
--- a/crates/platform-wire/src/feed.rs
+++ b/crates/platform-wire/src/feed.rs
@@ -2,12 +2,22 @@
 
 use crate::Malformed;
 use bytes::{Buf, BytesMut};
-use saltdrum::interface::{InvokerId, InvokerRecord, InvokerStatus};
+use saltdrum::interface::{InvokerId, InvokerRecord, InvokerStatus, SECOND, Ticks};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const RECORD_BYTES: usize = 27;
 /// Bytes of a frame that its length counts beside its records.
 const HEAD_BYTES: usize = 9;
+/// What the feed would have told counts as told so long after it broke off.
+const TOLD_AFTER_BREAK: Ticks = 2 * SECOND;
+/// The same after it fell silent.
+const TOLD_AFTER_SILENCE: Ticks = 4 * SECOND;
+/// So long after the last frame nothing that the feed would have told since counts as told yet, whichever way it was lost.
+pub const LIST_LIFETIME: Ticks = if TOLD_AFTER_BREAK < TOLD_AFTER_SILENCE {
+    TOLD_AFTER_BREAK
+} else {
+    TOLD_AFTER_SILENCE
+};
 /// A list of so many lines is none.
 const RECORDS_MAX: usize = 65_536;
 
@@ -27,7 +37,7 @@
 
 impl EndpointRecord {
     /// As the module is told of it; `started` is the start on the controller's own clock.
-    pub fn listed(&self, started: Option<saltdrum::interface::Ticks>) -> InvokerRecord {
+    pub fn listed(&self, started: Option<Ticks>) -> InvokerRecord {
         let Self {
             invoker,
             life,
--- a/crates/platform-wire/src/http.rs
+++ b/crates/platform-wire/src/http.rs
@@ -1,11 +1,13 @@
 //! Fields of HTTP towards invokers, and what their answers mean.
 
-use saltdrum::interface::{LoadOutcome, LoadReport, Outcome, StartKind};
+use saltdrum::interface::{LoadOutcome, LoadReport, Outcome, ProbeOutcome, StartKind};
 
 pub const TXN: &str = "x-txn";
 pub const FUNCTION: &str = "x-name";
 pub const LIMIT_MS: &str = "x-limit-ms";
 pub const TOKEN: &str = "x-dedupe";
+/// Where an invoker tells whether it takes new work.
+pub const HEALTH_PATH: &str = "/healthz";
 const UNRUN: &str = "x-unrun";
 const HOW: &str = "x-how";
 const AHEAD: &str = "x-ahead";
@@ -76,6 +78,14 @@
     }
 }
 
+/// Whether an invoker takes new work, by the status of its answer to a health check.
+pub fn readiness(status: u16) -> ProbeOutcome {
+    match status {
+        200 => ProbeOutcome::Ready,
+        _ => ProbeOutcome::NotReady,
+    }
+}
+
 /// How an order to hold ended.
 pub fn held<'a>(status: u16, field: impl Fn(&str) -> Option<&'a str>) -> LoadOutcome {
     match status {
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -151,6 +151,9 @@
             }
         }
         for _ in 0..REBUILDS_MAX {
+            if self.prepare(self.handle.clock.now()).is_none() {
+                return AttemptEnd::Stale;
+            }
             let end = match self.dial().await {
                 Ok(line) => self.over(line, most).await,
                 Err(failure) if failure.is_local => AttemptEnd::LocalFailure(failure.why),
@@ -300,7 +303,38 @@
     });
 }
 
-/// What no one waits for: to unload, and probes.
+/// Asks an invoker whether it takes new work.
+pub(crate) async fn run_probe(attempt: Attempt, line: Option<InvokerConnection>) {
+    let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
+    let started_at = attempt.handle.clock.now();
+    let going = attempt.go(line, SMALL_RESPONSE_BYTES_MAX);
+    let (outcome, line) = match tokio::time::timeout(BACKGROUND_REQUEST_TIMEOUT, going).await {
+        Ok(AttemptEnd::Answered(response, line)) => (http::readiness(response.status), Some(line)),
+        Ok(AttemptEnd::NotSent(_) | AttemptEnd::Lost(_)) => (ProbeOutcome::Unreachable, None),
+        Ok(AttemptEnd::Stale | AttemptEnd::LocalFailure(_)) => (ProbeOutcome::NotSent, None),
+        Err(_) => (ProbeOutcome::TimedOut, None),
+    };
+    attempt.handle.update(|state| {
+        let now = state.invocations.now;
+        let pools = &mut state.invocations.transport;
+        let sent_at = pools.sent_at(request_id).unwrap_or(started_at);
+        if !pools.finish(request_id) {
+            return;
+        }
+        if let Some(line) = line {
+            pools.return_connection(now, invoker, epoch, line);
+        }
+        pools.log_readiness(invoker, outcome);
+        state.probe_ended(ProbeResult {
+            invoker,
+            outcome,
+            sent_at,
+            duration: now - started_at,
+        });
+    });
+}
+
+/// What no one waits for: to unload.
 pub(crate) async fn background_request(attempt: Attempt, line: Option<InvokerConnection>) {
     let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
     let end = tokio::time::timeout(
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -54,12 +54,17 @@
     last: Cell<u64>,
     /// What lies in the machine of the connection that is followed.
     backlog: RefCell<ReadBacklog>,
-    /// The earliest time at which the last complete frame can have arrived; before the first, when the controller started.
+    /// All events up to then are known: the earliest time at which the frame that shows it can have arrived; before the first
+    /// one, when the controller started.
     heard_at: Cell<Ticks>,
     /// Since when the feed is lost: nothing complete came since.
     lost_since: Cell<Option<Ticks>>,
     /// How often a connection to the feed was lost, or was not made.
     losses: Cell<u64>,
+    /// Whether all events up to the present were read from the connection that is followed.
+    is_caught_up: Cell<bool>,
+    /// Whether it was logged that the list is out of date, since the feed was last heard.
+    is_out_of_date_logged: Cell<bool>,
 }
 
 impl EndpointWatch {
@@ -73,6 +78,8 @@
             heard_at: Cell::new(now),
             lost_since: Cell::new(None),
             losses: Cell::new(0),
+            is_caught_up: Cell::new(false),
+            is_out_of_date_logged: Cell::new(false),
         }
     }
 
@@ -103,9 +110,22 @@
         }
     }
 
-    /// A complete frame came, at `came` or later.
+    /// Logs that the list is out of date, once until the feed is heard again.
+    pub fn log_out_of_date(&self, now: Ticks) {
+        if !self.is_out_of_date_logged.replace(true) {
+            let list_age_ms = self.age(now) / MILLISECOND;
+            let last = self.last.get();
+            warn!(
+                last,
+                list_age_ms, "endpoint list out of date, invokers are probed before new work"
+            );
+        }
+    }
+
+    /// A complete frame came, at `came` or later, with which all events up to then are known.
     fn heard(&self, now: Ticks, came: Ticks) {
         self.heard_at.set(came.max(self.heard_at.get()));
+        self.is_out_of_date_logged.set(false);
         if let Some(since) = self.lost_since.take() {
             warn!(
                 address = %self.address.borrow(),
@@ -128,7 +148,7 @@
             last = self.last.get(),
             list_age_ms = self.age(now) / MILLISECOND,
             losses = self.losses.get(),
-            "control feed lost, the last list stands"
+            "control feed lost"
         );
     }
 }
@@ -169,6 +189,7 @@
     stream.write_all(&feed.last.get().to_be_bytes()).await?;
     let mut read = ArrivalReader::new(stream, handle.clock, handle.event_loop.clone());
     feed.backlog.replace(read.backlog());
+    feed.is_caught_up.set(false);
     // Only whole frames break a silence: one that comes byte by byte tells nothing.
     let mut due = handle.clock.now() + FIRST_FRAME_TIMEOUT;
     let mut came = handle.clock.now();
@@ -213,7 +234,8 @@
         // It carries the number of the last event: a later one than ours was never told us.
         Event::Nothing if number > last => return Err(WatchError::Untold { told: number, last }),
         Event::Nothing => {
-            feed.heard(handle.clock.now(), came);
+            feed.is_caught_up.set(true);
+            list_heard(handle, came);
             return Ok(());
         }
         // Written twice: heard once.
@@ -225,11 +247,25 @@
     let now = handle.clock.now();
     log_event(number, whole, lines, now.saturating_sub(came));
     feed.last.set(number);
-    feed.heard(now, came);
     handle.update(|state| apply_event(handle, state, came, whole, lines));
+    // Others may follow an event that was asked for after a gap, and count as told like it: they are known with the next
+    // empty frame.
+    if feed.is_caught_up.get() {
+        list_heard(handle, came);
+    }
     Ok(())
 }
 
+/// All events up to `came` are known.
+fn list_heard(handle: &ControllerHandle, came: Ticks) {
+    let feed = &handle.config.feed;
+    feed.heard(handle.clock.now(), came);
+    handle.update(|state| {
+        let now = state.invocations.now;
+        state.policy.endpoint_list_heard(now, came);
+    });
+}
+
 /// Logs an event, and each invoker in it that takes no new work.
 fn log_event(number: u64, whole: bool, lines: &[EndpointRecord], waited: Ticks) {
     info!(
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{
     Attempt, PreparedRequest, REQUEST_STALENESS_LIMIT, background_request, run_dispatch, run_load,
+    run_probe,
 };
 use crate::descriptor_guard::DescriptorGuard;
 use crate::invoker_connection::{InvokerConnection, SendDeadline, Socket};
@@ -9,6 +10,7 @@
 use crate::state::ControllerHandle;
 use bytes::Bytes;
 use saltdrum::interface::*;
+use saltdrum_platform_wire::feed::id_text;
 use saltdrum_transport::{Address, ReadBacklog};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -16,7 +18,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tracing::debug;
+use tracing::{debug, warn};
 
 mod list_changes;
 mod transport;
@@ -64,6 +66,8 @@
     idle: Vec<(Ticks, InvokerConnection)>,
     /// Requests in flight.
     active_requests: usize,
+    /// By its own word, when it was last probed, it takes no new work.
+    is_not_ready: bool,
 }
 
 impl Pool {
@@ -77,7 +81,10 @@
         };
         let stale_at = match kind {
             RequestKind::Dispatch { .. } => Ticks::MAX,
-            _ => stale_base + REQUEST_STALENESS_LIMIT,
+            RequestKind::Load { send_by, .. } => {
+                (stale_base + REQUEST_STALENESS_LIMIT).min(*send_by)
+            }
+            RequestKind::Probe | RequestKind::Background => stale_base + REQUEST_STALENESS_LIMIT,
         };
         SendDeadline { cutoff, stale_at }
     }
@@ -90,8 +97,10 @@
         invocation: InvocationId,
         attempt: u8,
     },
-    /// A load order. To query and to unload are no new work.
-    Load { is_new_work: bool },
+    /// A load order, which begins to be sent before `send_by`. To query and to unload are no new work.
+    Load { is_new_work: bool, send_by: Ticks },
+    /// Asks whether the invoker takes new work.
+    Probe,
     /// A request whose end nobody waits for.
     Background,
 }
@@ -101,8 +110,8 @@
     fn is_new_work(&self) -> bool {
         match self {
             Self::Dispatch { .. } => true,
-            Self::Load { is_new_work } => *is_new_work,
-            Self::Background => false,
+            Self::Load { is_new_work, .. } => *is_new_work,
+            Self::Probe | Self::Background => false,
         }
     }
 }
@@ -119,6 +128,7 @@
             attempt,
         } => tokio::task::spawn_local(run_dispatch(request, connection, invocation, attempt)),
         RequestKind::Load { .. } => tokio::task::spawn_local(run_load(request, connection)),
+        RequestKind::Probe => tokio::task::spawn_local(run_probe(request, connection)),
         RequestKind::Background => {
             tokio::task::spawn_local(background_request(request, connection))
         }
@@ -368,6 +378,37 @@
         true
     }
 
+    /// When a request that is in flight had been sent completely.
+    pub(crate) fn sent_at(&self, request: u64) -> Option<Ticks> {
+        self.requests.get(&request)?.sent_at()
+    }
+
+    /// Logs when an invoker's own word on its readiness changes.
+    pub(crate) fn log_readiness(&mut self, invoker: InvokerId, outcome: ProbeOutcome) {
+        let Some(pool) = self.pools.get_mut(&invoker) else {
+            return;
+        };
+        let id = id_text(invoker);
+        let was_not_ready = pool.is_not_ready;
+        match outcome {
+            ProbeOutcome::NotReady => pool.is_not_ready = true,
+            ProbeOutcome::Ready => pool.is_not_ready = false,
+            _ => debug!(id, ?outcome, "probe without an answer"),
+        }
+        match (was_not_ready, pool.is_not_ready) {
+            (false, true) => warn!(id, "invoker takes no new work, by its own word"),
+            (true, false) => warn!(id, "invoker takes new work again, by its own word"),
+            _ => {}
+        }
+    }
+
+    /// Logs, once for each time that the feed is lost, that invokers are probed before they get new work.
+    fn log_list_out_of_date(&self, now: Ticks) {
+        if let Some(handle) = self.handle.upgrade() {
+            handle.config.feed.log_out_of_date(now);
+        }
+    }
+
     /// Aborts a request: its connection is closed at once.
     fn abort(&mut self, request: u64) {
         let Some(request) = self.requests.remove(&request) else {
--- a/crates/platform/src/invoker_pools/list_changes.rs
+++ b/crates/platform/src/invoker_pools/list_changes.rs
@@ -92,8 +92,10 @@
                 invocation,
                 attempt,
             } => attempts.push((invocation, attempt)),
-            RequestKind::Load { is_new_work: true } => orders.push(*order),
-            RequestKind::Load { .. } | RequestKind::Background => {}
+            RequestKind::Load {
+                is_new_work: true, ..
+            } => orders.push(*order),
+            RequestKind::Load { .. } | RequestKind::Probe | RequestKind::Background => {}
         }
     }
     for (invocation, attempt) in attempts {
@@ -119,6 +121,7 @@
             epoch: 0,
             idle: Vec::new(),
             active_requests: 0,
+            is_not_ready: false,
         }
     }
 
--- a/crates/platform/src/invoker_pools/transport.rs
+++ b/crates/platform/src/invoker_pools/transport.rs
@@ -94,6 +94,7 @@
         invoker: InvokerId,
         function: FunctionId,
         count: u8,
+        send_by: Ticks,
     ) -> Result<u64, LoadOutcome> {
         let uri = format!("{}/{count}", http::function_path(function));
         let request = Request::builder()
@@ -104,7 +105,10 @@
             .body(Full::default())
             .map_err(|_| LoadOutcome::NotSent)?;
         let is_new_work = count > 0;
-        let kind = RequestKind::Load { is_new_work };
+        let kind = RequestKind::Load {
+            is_new_work,
+            send_by,
+        };
         self.start(now, invoker, kind, PreparedRequest::alone(request))
             .map_err(|outcome| match outcome {
                 Outcome::NoConnection => LoadOutcome::Unreachable,
@@ -138,15 +142,18 @@
         }
     }
 
-    fn probe(&mut self, now: Ticks, invoker: InvokerId) {
-        let request = Request::builder().uri("/busy").header("host", "invoker");
-        if let Ok(request) = request.body(Full::default()) {
-            let _ = self.start(
-                now,
-                invoker,
-                RequestKind::Background,
-                PreparedRequest::alone(request),
-            );
-        }
+    fn probe(&mut self, now: Ticks, invoker: InvokerId) -> Result<(), ProbeOutcome> {
+        let request = Request::builder()
+            .uri(http::HEALTH_PATH)
+            .header("host", "invoker")
+            .body(Full::default())
+            .map_err(|_| ProbeOutcome::NotSent)?;
+        self.log_list_out_of_date(now);
+        let prepared = PreparedRequest::alone(request);
+        let started = self.start(now, invoker, RequestKind::Probe, prepared);
+        started.map(|_| ()).map_err(|outcome| match outcome {
+            Outcome::NoConnection => ProbeOutcome::Unreachable,
+            _ => ProbeOutcome::NotSent,
+        })
     }
 }
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -18,6 +18,7 @@
     let transport = &state.invocations.transport;
     let counters = &state.invocations.counters;
     let sizes = state.policy.table_sizes();
+    let readiness = state.policy.readiness_counts();
     info!(
         taken = counters.accepted,
         stale = counters.expired_on_arrival,
@@ -38,6 +39,10 @@
         list_event = feed.last(),
         list_age_ms = feed.age(state.invocations.now) / MILLISECOND,
         feed_losses = feed.losses(),
+        probes = readiness.probes,
+        probes_not_ready = readiness.not_ready,
+        probes_unanswered = readiness.unanswered,
+        probe_waits = readiness.waits,
         "counts"
     );
 }
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -11,7 +11,7 @@
 use saltdrum_controller::InvocationTable;
 use saltdrum_controller::MakePolicy;
 use saltdrum_platform_wire::config::{self, Config};
-use saltdrum_platform_wire::feed::Event;
+use saltdrum_platform_wire::feed::{Event, LIST_LIFETIME};
 use saltdrum_transport::{Address, Clock, Listener, Network, run_event_loop_clock};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
@@ -170,7 +170,8 @@
     clock: Clock,
     make: MakePolicy,
 ) -> Rc<ControllerHandle> {
-    let (now, deployment) = (clock.now(), config.deployment);
+    let (now, mut deployment) = (clock.now(), config.deployment);
+    deployment.list_lifetime = Some(LIST_LIFETIME);
     let budget = ResourceLimits::of(&config.limits);
     info!(
         name = config.name,
--- a/crates/platform/src/tests/hostile_clients.rs
+++ b/crates/platform/src/tests/hostile_clients.rs
@@ -215,6 +215,8 @@
 fn cancels_attempt_when_client_leaves() {
     staged(|| async {
         let stage = Stage::new(dispatch_policy, &[1], 256).await;
+        // Once the list was heard no invoker is probed: the only connection is that of the attempt.
+        pass(LIST_HEARD).await;
         let mut client = stage.client().await;
         client.ask(&stage.call("look")).await;
         answer(&mut client).await;
--- a/crates/platform/src/tests/support.rs
+++ b/crates/platform/src/tests/support.rs
@@ -35,6 +35,8 @@
 pub(crate) const TAKES: Duration = Duration::from_millis(40);
 /// A start long ago, in Unix ms: who is listed later without one is taken for cold.
 pub(crate) const LONG_PAST_MS: Option<u64> = Some(UNIX_MS - 3_600_000);
+/// In ms: by then the feed has sent its first empty frame.
+pub(crate) const LIST_HEARD: u64 = 1_010;
 /// In ms: after it a line that was answered on is used again.
 pub(crate) const RESTED: u64 = 70;
 
--- a/crates/scale/src/controller.rs
+++ b/crates/scale/src/controller.rs
@@ -203,6 +203,7 @@
         invoker: InvokerId,
         function: FunctionId,
         _: u8,
+        _: Ticks,
     ) -> Result<u64, LoadOutcome> {
         self.last += 1;
         let (order, takes) = (self.last, self.world.ordered(now, invoker, function));
@@ -213,7 +214,9 @@
     }
     fn load_ended(&mut self, _: InvokerId, _: u64) {}
     fn unload(&mut self, _: Ticks, _: InvokerId, _: FunctionId) {}
-    fn probe(&mut self, _: Ticks, _: InvokerId) {}
+    fn probe(&mut self, _: Ticks, _: InvokerId) -> Result<(), ProbeOutcome> {
+        Ok(())
+    }
 }
 
 /// The list as the platform's feed would carry it: bytes of a whole one, and of an event with one line.
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -55,6 +55,7 @@
         load_window: 5 * SECOND,
         free_loads: 3.0,
         loads_per_invocation: 0.1,
+        list_lifetime: None,
         drain_grace: 250 * MILLISECOND,
         initial_capacity_share: 0.3,
         warm_up_time: 8 * SECOND,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -244,6 +244,7 @@
         load_window: settings.time("family_info.load_window_ms")?,
         free_loads: settings.number("family_info.loads_anyway")?,
         loads_per_invocation: settings.number("family_info.load_share")?,
+        list_lifetime: None,
         drain_grace: settings.time("rules.drain_grace_ms")?,
         initial_capacity_share: settings.number("rules.cold_from")?,
         warm_up_time: settings.time("rules.cold_ms")?,
--- a/crates/settings/tests/settings_fixtures.rs
+++ b/crates/settings/tests/settings_fixtures.rs
@@ -85,6 +85,7 @@
         load_window: order_window,
         free_loads: orders_free,
         loads_per_invocation: orders_share,
+        list_lifetime,
         drain_grace,
         initial_capacity_share: cold_share,
         warm_up_time: cold_time,
@@ -107,6 +108,7 @@
     assert_eq!(order_window, 45_000);
     assert_eq!(orders_free, 7.5);
     assert_eq!(orders_share, 0.12);
+    assert_eq!(list_lifetime, None);
     assert_eq!(drain_grace, 2_505);
     assert_eq!(cold_share, 0.19);
     assert_eq!(cold_time, 160_000);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -103,6 +103,9 @@
     pub free_loads: f64,
     /// Further load orders that each invocation of that window allows.
     pub loads_per_invocation: f64,
+    /// What the endpoint list would have told counts as notified this long after it was last heard, whether it is within
+    /// reach or not; none: the list is always current.
+    pub list_lifetime: Option<Ticks>,
     /// After an invoker is reported as draining, new work may reach it for this long.
     pub drain_grace: Ticks,
     /// Share of its capacity that an invoker has when it starts.
@@ -284,6 +287,47 @@
     pub sent_at: Option<Ticks>,
 }
 
+/// How a probe ended: whether an invoker takes new work, by its own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// It takes new work.
+    Ready,
+    /// It takes none.
+    NotReady,
+    /// No connection could be made, or it broke.
+    Unreachable,
+    /// No answer within the time limit.
+    TimedOut,
+    /// The probe was not sent, and that says nothing of the invoker.
+    NotSent,
+}
+
+/// How one probe ended.
+#[derive(Clone, Copy, Debug)]
+pub struct ProbeResult {
+    /// The invoker that was probed.
+    pub invoker: InvokerId,
+    /// How the probe ended.
+    pub outcome: ProbeOutcome,
+    /// The answer tells of the invoker as it was then, or later.
+    pub sent_at: Ticks,
+    /// Time from the probe to its end.
+    pub duration: Ticks,
+}
+
+/// What was done since the start where the endpoint list did not vouch for an invoker, by count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadinessCounts {
+    /// Probes sent.
+    pub probes: u64,
+    /// Probes answered with "not ready".
+    pub not_ready: u64,
+    /// Probes without an answer, or without a connection.
+    pub unanswered: u64,
+    /// Times that an invocation waited for an invoker to vouch for itself.
+    pub waits: u64,
+}
+
 /// A policy's view of one invoker, for logs and for comparison with what the sockets saw.
 #[derive(Clone, Copy, Debug)]
 pub struct InvokerView {
@@ -341,9 +385,15 @@
     fn cancel(&mut self, invocation: InvocationId, attempt: u8);
     /// Orders an invoker to hold at least `count` instances of a function.
     fn load(&mut self, invoker: InvokerId, function: FunctionId, count: u8);
+    /// Like [`Actions::load`], but nothing of it may begin to be sent from `send_by` on. A host that sends at once, or not at
+    /// all, need not override it.
+    fn load_by(&mut self, invoker: InvokerId, function: FunctionId, count: u8, _send_by: Ticks) {
+        self.load(invoker, function, count);
+    }
     /// Orders an invoker to unload idle instances of a function.
     fn unload(&mut self, invoker: InvokerId, function: FunctionId);
-    /// Checks an invoker's health.
+    /// Asks an invoker whether it takes new work. The answer is reported by
+    /// [`probe_ended`](crate::DispatchPolicy::probe_ended).
     fn probe(&mut self, invoker: InvokerId);
     /// Asks for one [`timer_fired`](crate::DispatchPolicy::timer_fired) with `token` at `at`.
     fn set_timer(&mut self, at: Ticks, token: u64);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,15 +3,16 @@
 //! # How to call it
 //!
 //! Create a [`DispatchPolicy`] at start, then call one method for each event: [`invokers_changed`], [`invocation_arrived`],
-//! [`client_left`], [`attempt_ended`], [`load_ended`], [`timer_fired`]. Each takes the time and an [`Actions`] through which
-//! the policy acts before it returns. The same calls give the same actions.
+//! [`client_left`], [`attempt_ended`], [`load_ended`], [`timer_fired`]; where the endpoint list can go out of date, also
+//! [`endpoint_list_heard`] and [`probe_ended`]. Each takes the time, and most an [`Actions`] through which the policy acts before
+//! it returns. The same calls give the same actions.
 //!
 //! # Where to read
 //!
 //! The ordinary path is `pool_sizing` (how many invokers a function's pool has, each second), `ranking` (which ones),
 //! `placement` (the one with the earliest expected finish) and `loads` (orders that keep the pool loaded). `retries` and
 //! `admission` decide what becomes of an invocation that has no answer yet, `health` and `slow_start` which invokers may get
-//! work. `load_budget` and `load_breaker` limit load orders; `outcomes` learns from the ends of attempts, with the estimates of
+//! work, `readiness` which may get any while the endpoint list is out of reach. `load_budget` and `load_breaker` limit load orders; `outcomes` learns from the ends of attempts, with the estimates of
 //! `estimates`.
 //! `docs/design.md` gives the reasons.
 //!
@@ -21,6 +22,8 @@
 //! [`attempt_ended`]: DispatchPolicy::attempt_ended
 //! [`load_ended`]: DispatchPolicy::load_ended
 //! [`timer_fired`]: DispatchPolicy::timer_fired
+//! [`endpoint_list_heard`]: DispatchPolicy::endpoint_list_heard
+//! [`probe_ended`]: DispatchPolicy::probe_ended
 
 mod admission;
 mod attempts;
@@ -37,6 +40,7 @@
 mod placement;
 mod pool_sizing;
 mod ranking;
+mod readiness;
 mod retries;
 mod slow_start;
 mod timers;
@@ -52,6 +56,7 @@
 use loads::Loads;
 use pool_sizing::PoolSizing;
 use ranking::ReadyInvokers;
+use readiness::EndpointListAge;
 use slow_start::CompletedWork;
 use std::collections::BTreeMap;
 use timers::Timers;
@@ -93,6 +98,7 @@
     seed: u64,
     triggers: Vec<TriggerStats>,
     invokers: BTreeMap<InvokerId, InvokerState>,
+    list_age: EndpointListAge,
     ready: ReadyInvokers,
     functions: BTreeMap<FunctionId, FunctionState>,
     invocations: BTreeMap<InvocationId, InvocationState>,
@@ -121,6 +127,7 @@
                 .collect(),
             deployment,
             invokers: BTreeMap::new(),
+            list_age: EndpointListAge::default(),
             ready: ReadyInvokers::new(),
             functions: BTreeMap::new(),
             invocations: BTreeMap::new(),
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -30,7 +30,11 @@
                 expects_instance,
                 due_at,
             } => {
-                self.dispatch(id, invoker, expects_instance, due_at, actions);
+                if self.may_send_new_work(invoker) {
+                    self.dispatch(id, invoker, expects_instance, due_at, actions);
+                } else {
+                    self.await_confirmation(id, invoker, actions);
+                }
             }
             Placement::AwaitLoad {
                 invoker,
@@ -83,6 +87,7 @@
         actions: &mut dyn Actions,
     ) {
         let now = self.now;
+        let send_by = self.attempt_deadline(id, invoker_id);
         let function_id = self.invocations[&id].request.function;
         let begins_load = !expects_instance && !self.deployment.reports_misses;
         if begins_load {
@@ -125,16 +130,24 @@
             continuation: Box::new(move |policy, actions| policy.continue_invocation(id, actions)),
         });
         state.attempts += 1;
-        let (effect, window) = (trigger.settings.effect, trigger.settings.idempotency_window);
-        match (effect, state.may_have_run) {
-            // The key is recognised within its window alone: a retry is sent by then, or decided anew.
-            (Effect::IdempotencyKey, Some(first)) => {
-                actions.dispatch_by(id, invoker_id, 0, first.sent_at + window);
-            }
-            _ => actions.dispatch(id, invoker_id, 0),
+        match send_by {
+            Ticks::MAX => actions.dispatch(id, invoker_id, 0),
+            send_by => actions.dispatch_by(id, invoker_id, 0, send_by),
         }
     }
 
+    /// Until when an attempt that is decided now may begin to be sent.
+    fn attempt_deadline(&self, id: InvocationId, invoker_id: InvokerId) -> Ticks {
+        let state = &self.invocations[&id];
+        let settings = &self.triggers[state.request.trigger].settings;
+        let window_ends_at = match (settings.effect, state.may_have_run) {
+            // The key is recognised within its window alone: a retry is sent by then, or decided anew.
+            (Effect::IdempotencyKey, Some(first)) => first.sent_at + settings.idempotency_window,
+            _ => Ticks::MAX,
+        };
+        self.new_work_deadline(invoker_id).min(window_ends_at)
+    }
+
     /// An attempt has ended: the invocation is finished, or decided anew.
     fn continue_invocation(&mut self, id: InvocationId, actions: &mut dyn Actions) {
         match self.invocations.get(&id) {
@@ -167,6 +180,9 @@
         let request = state.request.clone();
         if result.outcome == Outcome::Succeeded {
             self.record_first_success(&request);
+            if let Some(invoker) = self.invokers.get_mut(&attempt.invoker) {
+                invoker.confirmation.took_work(attempt.sent_at);
+            }
         }
         self.record_attempt(&request, &attempt, &result);
         (attempt.continuation)(self, actions);
--- a/src/policy/invocations.rs
+++ b/src/policy/invocations.rs
@@ -1,5 +1,6 @@
 //! What is known of an invocation from its arrival until its last attempt has ended.
 
+use super::admission::DEADLINE_MARGIN;
 use super::{Continuation, DispatchPolicy};
 use crate::interface::{Actions, Invocation, InvocationId, InvokerId, Ticks};
 
@@ -59,6 +60,11 @@
         }
     }
 
+    /// Whatever becomes of it is decided by then.
+    pub(super) fn latest_answer(&self) -> Ticks {
+        self.request.expires_at.saturating_sub(DEADLINE_MARGIN)
+    }
+
     /// The first attempt that may have run, in flight or ended.
     pub(super) fn attempt_that_may_have_run(&self) -> Option<EarlierAttempt> {
         let in_flight = self.in_flight.as_ref();
--- a/src/policy/invokers.rs
+++ b/src/policy/invokers.rs
@@ -1,6 +1,7 @@
 //! What is known of an invoker, and how the endpoint list changes it.
 
 use super::estimates::TimedValue;
+use super::readiness::Confirmation;
 use super::slow_start::SentWork;
 use super::{DispatchPolicy, FunctionState};
 use crate::interface::{FunctionId, InvokerId, InvokerRecord, InvokerStatus, Ticks};
@@ -35,6 +36,7 @@
     pub first_seen: Option<Ticks>,
     /// By tenant and class. A single one is no sign of ill health.
     pub rejections: BTreeMap<(usize, usize), Rejections>,
+    pub confirmation: Confirmation,
     /// What was sent to it within the overload window.
     pub sent_work: VecDeque<SentWork>,
 }
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -1,11 +1,11 @@
 //! Load orders: given where a pool lacks an instance or an invocation needs one, within the budget and the circuit breaker;
 //! and what their ends tell.
 
+use super::DispatchPolicy;
 use super::functions::FunctionState;
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::load_breaker::LoadBreaker;
 use super::load_budget::LoadBudget;
-use super::{Continuation, DispatchPolicy};
 use crate::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, SECOND, Ticks,
 };
@@ -89,6 +89,10 @@
         if !self.ready.contains(invoker_id) || !self.may_order_load(budget_share) {
             return false;
         }
+        if !self.may_send_new_work(invoker_id) {
+            self.when_probed(invoker_id, Box::new(|_, _| {}), actions);
+            return false;
+        }
         let Some(function) = self.functions.get_mut(&function_id) else {
             return false;
         };
@@ -103,7 +107,10 @@
             self.loads.breaker.load_began(now);
         }
         self.loads.budget.order_given(now);
-        actions.load(invoker_id, function_id, 1);
+        match self.new_work_deadline(invoker_id) {
+            Ticks::MAX => actions.load(invoker_id, function_id, 1),
+            send_by => actions.load_by(invoker_id, function_id, 1, send_by),
+        }
         true
     }
 
@@ -190,23 +197,15 @@
         let Some(state) = self.invocations.get(&id) else {
             return;
         };
-        let decision = state.decisions;
+        let when_loaded = Self::unless_decided(state, Self::route);
+        let when_over =
+            Self::unless_decided(state, |policy, id, actions| policy.reject(id, 0, actions));
         let Some(function) = self.functions.get_mut(&state.request.function) else {
             return;
         };
-        let when_undecided = |step: fn(&mut Self, InvocationId, &mut dyn Actions)| -> Continuation {
-            Box::new(move |policy, actions| {
-                let state = policy.invocations.get(&id);
-                if state.is_some_and(|state| state.decisions == decision) {
-                    step(policy, id, actions);
-                }
-            })
-        };
         let instance = function.instances.entry(invoker_id).or_default();
-        instance.waiting.push(when_undecided(Self::route));
-        let reject =
-            |policy: &mut Self, id, actions: &mut dyn Actions| policy.reject(id, 0, actions);
-        self.schedule(latest, actions, when_undecided(reject));
+        instance.waiting.push(when_loaded);
+        self.schedule(latest, actions, when_over);
     }
 }
 
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -1,7 +1,7 @@
 //! Read access to a policy's state, for logs and tests. Nothing here decides or changes anything.
 
 use super::DispatchPolicy;
-use crate::interface::{InvokerView, TableSizes, Ticks};
+use crate::interface::{InvokerView, ReadinessCounts, TableSizes, Ticks};
 
 impl DispatchPolicy {
     /// The view of each invoker that is ready, in the order of their ids.
@@ -20,6 +20,11 @@
         self.ready.ids().map(view).collect()
     }
 
+    /// What was done where the endpoint list did not vouch for an invoker.
+    pub fn readiness_counts(&self) -> ReadinessCounts {
+        self.list_age.counts
+    }
+
     /// Sizes of the tables, and the work done, by count.
     pub fn table_sizes(&self) -> TableSizes {
         TableSizes {
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -158,6 +158,9 @@
         if !request.has_attempts_left || !invoker.is_available(now) || was_tried {
             return false;
         }
+        if !self.may_become_usable(invoker_id) {
+            return false;
+        }
         let work = request.trigger.run_time.mean();
         if self.slow_start_allowance(invoker, work) < work {
             return false;
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -196,12 +196,34 @@
             if self.pools.planned_loads < 1.0 || !self.may_order_load(PLANNED_LOADS_SHARE) {
                 break;
             }
-            let function = &self.functions[&function_id];
-            let is_due = function.needs_load(ranked, self.now, self.deployment.keep_alive);
-            if is_due && self.order_load(ranked.invoker, function_id, PLANNED_LOADS_SHARE, actions)
-            {
-                self.pools.planned_loads -= 1.0;
-            }
+            self.order_planned_load(function_id, ranked, actions);
+        }
+    }
+
+    /// Orders a load at an invoker of the pool that lacks a loaded instance, or whose instance is about to expire. Where the
+    /// list does not vouch for the invoker, this waits for the invoker's own word.
+    fn order_planned_load(
+        &mut self,
+        function_id: FunctionId,
+        ranked: Ranked,
+        actions: &mut dyn Actions,
+    ) {
+        let (now, keep_alive) = (self.now, self.deployment.keep_alive);
+        let function = self.functions.get(&function_id);
+        if !function.is_some_and(|function| function.needs_load(ranked, now, keep_alive)) {
+            return;
+        }
+        if !self.may_send_new_work(ranked.invoker) {
+            let when_probed = move |policy: &mut Self, actions: &mut dyn Actions| {
+                let has_budget = policy.pools.planned_loads >= 1.0;
+                if has_budget && policy.may_send_new_work(ranked.invoker) {
+                    policy.order_planned_load(function_id, ranked, actions);
+                }
+            };
+            return self.when_probed(ranked.invoker, Box::new(when_probed), actions);
+        }
+        if self.order_load(ranked.invoker, function_id, PLANNED_LOADS_SHARE, actions) {
+            self.pools.planned_loads -= 1.0;
         }
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -267,6 +267,7 @@
         load_window: 0,
         free_loads: 0.0,
         loads_per_invocation: 0.0,
+        list_lifetime: None,
         drain_grace: 250 * MILLISECOND,
         initial_capacity_share: 0.2,
         warm_up_time: 15 * SECOND,
