--- a/crates/cli/tests/fault_mix.rs
+++ b/crates/cli/tests/fault_mix.rs
@@ -112,6 +112,7 @@
         limit_ms: 300..CLIENT_TIMEOUT_MS,
         pause_ms: 0..60,
         may_leave: true,
+        keeps_connections: false,
     };
     let mut threads = Vec::new();
     for _ in 0..CLIENTS {
--- a/crates/cli/tests/list_outage.rs
+++ b/crates/cli/tests/list_outage.rs
@@ -108,6 +108,7 @@
             limit_ms: 1_500..CLIENT_TIMEOUT_MS,
             pause_ms: 0..60,
             may_leave: false,
+            keeps_connections: false,
         };
         for seed in 0..CLIENTS as u64 {
             let clients = clients.clone();
