--- a/crates/cli/tests/node_day/record.rs
+++ b/crates/cli/tests/node_day/record.rs
@@ -104,6 +104,12 @@
     pub close_crossing: Duration,
 }
 
+/// Milliseconds from one moment to another; negative where it was before.
+fn since(at: Instant, from: Instant) -> i128 {
+    let later = at.saturating_duration_since(from).as_millis() as i128;
+    later - from.saturating_duration_since(at).as_millis() as i128
+}
+
 impl Record {
     /// Whether the process ran all the time from one moment to another.
     fn ran(&self, from: Instant, to: Instant) -> bool {
@@ -204,7 +210,20 @@
             for (before, after) in attempts.iter().zip(attempts.iter().skip(1)) {
                 let both_out = before.ended.saturating_duration_since(after.arrived);
                 if both_out > SEEN_LATE {
-                    breaks.push(format!("{id}: two out for {both_out:?}"));
+                    let stops = self.stops.iter().filter(|stop| {
+                        stop.0 <= after.arrived + both_out && stop.1 >= before.arrived
+                    });
+                    let stops: Vec<_> = stops
+                        .map(|stop| (since(stop.0, before.arrived), since(stop.1, before.arrived)))
+                        .collect();
+                    breaks.push(format!(
+                        "{id} ({:?}): two out for {both_out:?}: at {} from 0 to {} ms, at {} from {} ms; stops {stops:?}",
+                        request.effect,
+                        before.invoker,
+                        since(before.ended, before.arrived),
+                        after.invoker,
+                        since(after.arrived, before.arrived),
+                    ));
                 }
                 let Some(first) =
                     first_that_may_have_run.filter(|first| first.arrived < after.arrived)
