Times are read before the system call whose result they date, not after it

Three places: a source found empty (what came over the stop counted as come after it, by up to its length), a probe's answer (good for half a grace since it was sent, dated after the stop), and a feed's new connection (its first frames dated after the stop).

Test: a_stop_right_after_an_empty_poll_makes_nothing_younger, 120 ms too young before (1201 ticks), passes now.

--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -317,7 +317,7 @@
     attempt.handle.update(|state| {
         let now = state.invocations.now;
         let pools = &mut state.invocations.transport;
-        let sent_at = pools.sent_at(request_id).unwrap_or(started_at);
+        let sent_at = pools.begun_at(request_id).unwrap_or(started_at);
         if !pools.finish(request_id) {
             return;
         }
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -184,15 +184,18 @@
 async fn watch_connection(handle: &Rc<ControllerHandle>) -> Result<Infallible, WatchError> {
     let feed = &handle.config.feed;
     let address = Address::Tcp(feed.address.borrow().to_string());
+    // What the feed tells may lie in the machine from the dial on, however late the process goes on.
+    let dialled_at = handle.clock.now();
     let dialled = tokio::time::timeout(CONNECT_TIMEOUT, handle.network.dial(&address)).await;
     let mut stream = dialled.map_err(|_| WatchError::NoConnection)??;
     stream.write_all(&feed.last.get().to_be_bytes()).await?;
-    let mut read = ArrivalReader::new(stream, handle.clock, handle.event_loop.clone());
+    let event_loop = handle.event_loop.clone();
+    let mut read = ArrivalReader::opened_at(stream, dialled_at, handle.clock, event_loop);
     feed.backlog.replace(read.backlog());
     feed.is_caught_up.set(false);
     // Only whole frames break a silence: one that comes byte by byte tells nothing.
     let mut due = handle.clock.now() + FIRST_FRAME_TIMEOUT;
-    let mut came = handle.clock.now();
+    let mut came = dialled_at;
     loop {
         if let Some((number, event)) = cut(&mut read.bytes)? {
             handle_event(handle, came, number, &event)?;
--- a/crates/platform/src/invoker_connection.rs
+++ b/crates/platform/src/invoker_connection.rs
@@ -32,6 +32,8 @@
     send_deadline: RefCell<SendDeadline>,
     /// When its last byte was handed to the machine.
     sent_at: Cell<Option<Ticks>>,
+    /// Before its first byte was.
+    begun_at: Cell<Option<Ticks>>,
     /// A request was not sent, as its time to leave was over.
     is_stale: Cell<bool>,
 }
@@ -57,7 +59,8 @@
 impl Socket {
     fn new(stream: Stream, clock: Clock) -> Self {
         let stream = RefCell::new(Some(stream));
-        let (left, head, body, send_deadline, sent_at, is_stale) = Default::default();
+        let (left, head, body, send_deadline) = Default::default();
+        let (sent_at, begun_at, is_stale) = Default::default();
         Self {
             stream,
             clock,
@@ -66,6 +69,7 @@
             body,
             send_deadline,
             sent_at,
+            begun_at,
             is_stale,
         }
     }
@@ -76,6 +80,7 @@
         self.head.set(0);
         self.body.set(body as u64);
         self.sent_at.set(None);
+        self.begun_at.set(None);
         self.is_stale.set(false);
         *self.send_deadline.borrow_mut() = send_deadline;
     }
@@ -89,6 +94,7 @@
     fn may_begin_sending(&self) -> bool {
         let (now, send_deadline) = (self.clock.now(), self.send_deadline.borrow());
         self.is_stale.set(now >= send_deadline.stale_at);
+        self.begun_at.set(Some(now));
         !self.is_stale.get() && now < send_deadline.cutoff.get()
     }
 
@@ -102,6 +108,12 @@
         self.sent_at.get()
     }
 
+    /// The latest time at which nothing of the request on it had left, if some has. A process may be stopped right after it
+    /// sent, and then read the clock: what an invoker answers is no younger than this.
+    pub fn begun_at(&self) -> Option<Ticks> {
+        self.begun_at.get()
+    }
+
     pub fn has_begun_sending(&self) -> bool {
         self.left.get() > 0
     }
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -378,9 +378,9 @@
         true
     }
 
-    /// When a request that is in flight had been sent completely.
-    pub(crate) fn sent_at(&self, request: u64) -> Option<Ticks> {
-        self.requests.get(&request)?.sent_at()
+    /// The latest time at which nothing of a request in flight had left.
+    pub(crate) fn begun_at(&self, request: u64) -> Option<Ticks> {
+        self.requests.get(&request)?.socket.as_ref()?.begun_at()
     }
 
     /// Logs when an invoker's own word on its readiness changes.
--- a/crates/transport/src/arrival_clock.rs
+++ b/crates/transport/src/arrival_clock.rs
@@ -139,9 +139,11 @@
         let woken = self.arrival.take_since();
         self.arrival.set_task(cx.waker());
         let without_call_before = polls_without_call();
+        // Read before the poll: a stop takes effect as a system call returns, and what arrives over it came after the source
+        // was found empty.
+        let now = self.arrival.clock.now();
         let polled = poll(&mut Context::from_waker(&self.waker));
         let made_call = polls_without_call() == without_call_before;
-        let now = self.arrival.clock.now();
         if polled.is_pending() {
             // A source that wakes its poller while it is polled defers the poll: it has not been looked at.
             if self.arrival.is_woken() {
--- a/crates/transport/src/event_loop/tests.rs
+++ b/crates/transport/src/event_loop/tests.rs
@@ -246,3 +246,32 @@
         );
     });
 }
+
+/// A stop takes effect as a system call returns: the source was found empty, the process stood still, and only then was the
+/// clock read. Found by rereading for the class of bugs "when it is read is taken for when it happened".
+#[tokio::test]
+async fn a_stop_right_after_an_empty_poll_makes_nothing_younger() {
+    const STOP: std::time::Duration = std::time::Duration::from_millis(120);
+    let (event_loop, clock) = (EventLoopClock::default(), Clock::start());
+    let mut arrivals = ArrivalClock::new(clock.now(), clock, &event_loop);
+    for _ in 0..2 {
+        event_loop.tick(clock.now());
+    }
+    let mut waits = None;
+    let stopped_at = clock.now();
+    let mut cx = Context::from_waker(Waker::noop());
+    let polled = arrivals.poll(&mut cx, |cx| {
+        waits = Some(cx.waker().clone());
+        std::thread::sleep(STOP);
+        Poll::<()>::Pending
+    });
+    assert!(polled.is_pending());
+    waits.into_iter().for_each(Waker::wake);
+    assert!(arrivals.poll(&mut cx, |_| Poll::Ready(())).is_ready());
+    let earliest = arrivals.earliest();
+    assert!(
+        earliest <= stopped_at + 2 * MILLISECOND,
+        "{} ticks after the stop began",
+        earliest - stopped_at
+    );
+}
