--- a/crates/cli/tests/node_day/feed.rs
+++ b/crates/cli/tests/node_day/feed.rs
@@ -2,8 +2,9 @@
 
 use super::invoker::Status;
 use super::record::{NotReady, Record};
+use crate::node_peers::{DRAINING, GONE, READY, endpoint_event};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
@@ -75,33 +76,13 @@
 }
 
 /// An event that gives the state of one invoker.
-pub fn event(number: u64, invoker: usize, address: &str, status: Status) -> Vec<u8> {
-    let SocketAddr::V4(at) = address.parse().unwrap() else {
-        panic!("{address}: IPv4 is expected")
-    };
+fn event(number: u64, invoker: usize, address: &str, status: Status) -> Vec<u8> {
     let state = match status {
-        Status::Ready => 0,
-        Status::Draining => 1,
-        Status::Gone => 2,
+        Status::Ready => READY,
+        Status::Draining => DRAINING,
+        Status::Gone => GONE,
     };
-    let record = [
-        &(invoker as u32 + 1).to_be_bytes()[..],
-        &at.ip().octets(),
-        &at.port().to_be_bytes(),
-        &[state, 0, 0],
-        &0u16.to_be_bytes(),
-        &4_000u32.to_be_bytes(),
-        &0u64.to_be_bytes(),
-    ]
-    .concat();
-    let length = 9 + record.len() as u32;
-    [
-        &length.to_be_bytes()[..],
-        &number.to_be_bytes(),
-        &[2],
-        &record,
-    ]
-    .concat()
+    endpoint_event(number, invoker as u32 + 1, address, state)
 }
 
 impl Feed {
--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -16,8 +16,10 @@
 pub const LONG: Duration = Duration::from_secs(20);
 /// The type of a client's frame that brings a request.
 const REQUEST: u8 = 16;
-/// The state of an invoker in the feed.
-const DRAINING: u8 = 1;
+/// The states of an invoker in the feed.
+pub const READY: u8 = 0;
+pub const DRAINING: u8 = 1;
+pub const GONE: u8 = 2;
 
 pub fn saltdrum(config: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_saltdrum"));
@@ -167,6 +169,11 @@
 
 /// The event of the feed after `number` that says that an invoker, at this address, drains.
 pub fn drain_event(number: u64, invoker: u32, address: &str) -> Vec<u8> {
+    endpoint_event(number + 1, invoker, address, DRAINING)
+}
+
+/// An event of the feed that gives the state of one invoker, at this address.
+pub fn endpoint_event(number: u64, invoker: u32, address: &str, state: u8) -> Vec<u8> {
     let SocketAddr::V4(at) = address.parse().unwrap() else {
         panic!("{address}: IPv4 is expected")
     };
@@ -174,7 +181,7 @@
         &invoker.to_be_bytes()[..],
         &at.ip().octets(),
         &at.port().to_be_bytes(),
-        &[DRAINING, 0, 0],
+        &[state, 0, 0],
         &0u16.to_be_bytes(),
         &4_000u32.to_be_bytes(),
         &0u64.to_be_bytes(),
@@ -183,7 +190,7 @@
     let length = 9 + record.len() as u32;
     [
         &length.to_be_bytes()[..],
-        &(number + 1).to_be_bytes(),
+        &number.to_be_bytes(),
         &[2],
         &record,
     ]
