Tests of processes listen where the kernel gives no ports

Traced: free_address() bound any port, closed it and used it later; plays beside one another got it in between. Of four plays beside load one ended with 'can't listen on 127.0.0.1:34329: Address already in use'. Addresses are now of the process and the call, outside the kernel's range. No assertion changes.

--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -6,9 +6,10 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -231,10 +232,16 @@
     panic!("nobody listens at {at}");
 }
 
+/// An address where nobody listens, of this test process and of this call alone. The kernel gives ports above the range to
+/// whoever asks for any, so that a port that was free a moment ago may have an owner; and it connects from 127.0.0.1.
 pub fn free_address() -> String {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .to_string()
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = Ipv4Addr::new(127, 1 + high % 250, low, 1);
+        if let Ok(listener) = TcpListener::bind((address, port)) {
+            return listener.local_addr().unwrap().to_string();
+        }
+    }
 }
