Data over two stops in a row keeps its age: a tick is no poll of the kernel

What callers saw: after a stop, invokers were told of up to 2.6 s more than the client had left, and worked for nobody.

Cause: PollTimes::last_poll_before took the last tick for a poll of the kernel once 40 ms had passed since it. A tick's timer fires in a poll after the tick before, so two ticks have a poll between them; after the last tick there need not have been one. Where a stop falls between the poll and the tick's task, the tick runs first when the process wakes, and with a second stop right after it everything that came in the first stop was dated at that tick. Beside load a process that runs in turns of 1 ms does little else.

Evidence: the new test of the reader forces that order on a real socket; it failed before (dated after the first stop) and passes now.

Why it works: the bound is the tick before the last, always. The assertion that after the last tick a poll may be counted on (1,200 in data_reported_after_a_stop_may_have_arrived_when_it_began) stated the fault; it asks for 1,100 now, as strictly.

--- a/crates/transport/src/arrival_clock.rs
+++ b/crates/transport/src/arrival_clock.rs
@@ -2,7 +2,7 @@
 //!
 //! Bytes, and connections in a listener's queue, may have lain in the kernel for long before they are read: the process was
 //! stopped, or other tasks ran first. An [`ArrivalClock`] notes when the kernel reported that there was something. What it
-//! reported arrived after the poll before that (`PollTimes::last_poll_before`), however late it is read.
+//! reported arrived after the poll before that (`PollTimes::last_poll_bound`), however late it is read.
 
 use crate::event_loop::PollTimes;
 use crate::retrying_stream::polls_without_call;
@@ -55,7 +55,7 @@
 
 impl Wake for ArrivalWaker {
     fn wake(self: Arc<Self>) {
-        let bound = self.poll_times.last_poll_before(self.clock.now());
+        let bound = self.poll_times.last_poll_bound();
         // Of several wake-ups before the task runs, the first counts.
         let _ = self
             .since
@@ -153,7 +153,7 @@
                 let empty_at = if made_call {
                     now
                 } else {
-                    self.arrival.poll_times.last_poll_before(now)
+                    self.arrival.poll_times.last_poll_bound()
                 };
                 (self.empty_at, self.is_waiting) = (self.empty_at.max(empty_at), true);
                 self.unread.set(false);
@@ -161,7 +161,7 @@
             return Poll::Pending;
         }
         if self.is_waiting {
-            let since = woken.unwrap_or_else(|| self.arrival.poll_times.last_poll_before(now));
+            let since = woken.unwrap_or_else(|| self.arrival.poll_times.last_poll_bound());
             self.earliest = since.max(self.empty_at);
         }
         self.is_waiting = false;
--- a/crates/transport/src/event_loop.rs
+++ b/crates/transport/src/event_loop.rs
@@ -19,7 +19,7 @@
 
 /// The event loop's clock ticks this often while its thread runs.
 pub(crate) const TICK_INTERVAL: Ticks = 10 * MILLISECOND;
-/// EventLoopClock further apart mean that the thread stood still.
+/// Ticks further apart mean that the thread stood still.
 const STOP_THRESHOLD: Ticks = 40 * MILLISECOND;
 const READ_BYTES: usize = 16 << 10;
 
@@ -31,24 +31,12 @@
 }
 
 impl PollTimes {
-    fn last(&self) -> Ticks {
-        self.last.load(Ordering::Relaxed)
-    }
-
-    fn before(&self) -> Ticks {
+    /// What the kernel reports now arrived no earlier than this, as it would have been reported before. A tick's timer fires in
+    /// a poll of the kernel after the tick before, so there was a poll between the last two. Since the last one there may have
+    /// been none: its task may have run first after a stop, and another stop may have followed at once.
+    pub(crate) fn last_poll_bound(&self) -> Ticks {
         self.before.load(Ordering::Relaxed)
     }
-
-    /// What the kernel reports at `now` arrived no earlier than this, as it would have been reported before. A thread that was
-    /// stopped and has not ticked since last polled before the stop; its first tick after a stop may come before it polls, so
-    /// only the tick before the last counts.
-    pub(crate) fn last_poll_before(&self, now: Ticks) -> Ticks {
-        if now.saturating_sub(self.last()) > STOP_THRESHOLD {
-            self.last()
-        } else {
-            self.before()
-        }
-    }
 }
 
 /// Knows when one thread's event loop last polled the kernel. Clones share their state.
@@ -70,12 +58,8 @@
     /// The kernel was last polled no earlier than this: what arrived before is known to its reader, or was queued for it before
     /// whatever asks now.
     pub fn last_polled(&self) -> Ticks {
-        let before = self.poll_times.before();
-        if before == 0 {
-            0
-        } else {
-            before + TICK_INTERVAL
-        }
+        let bound = self.poll_times.last_poll_bound();
+        if bound == 0 { 0 } else { bound + TICK_INTERVAL }
     }
 
     /// Called by a stream that knows when the bytes it just gave were written. Only a simulated one does, and only for a rule
@@ -86,11 +70,11 @@
 
     /// How long what the kernel reports at `now` can have waited at most; 0 for a thread that has just started.
     pub fn max_wait(&self, now: Ticks) -> Ticks {
-        let before = self.poll_times.last_poll_before(now);
-        if before == 0 {
+        let bound = self.poll_times.last_poll_bound();
+        if bound == 0 {
             0
         } else {
-            now.saturating_sub(before)
+            now.saturating_sub(bound)
         }
     }
 
--- a/crates/transport/src/event_loop/tests.rs
+++ b/crates/transport/src/event_loop/tests.rs
@@ -24,26 +24,21 @@
         assert_eq!(event_loop.tick(at), None);
     }
     assert_eq!(
-        poll_times.last_poll_before(1_210),
+        poll_times.last_poll_bound(),
         1_100,
-        "not before the turn before the last"
-    );
-    assert_eq!(
-        poll_times.last_poll_before(9_000),
-        1_200,
-        "no turn since: the stop has just ended"
+        "a stop may have begun right after the last tick, before a poll"
     );
     assert_eq!(event_loop.tick(21_200), Some(20_000));
     assert_eq!(
-        poll_times.last_poll_before(21_210),
+        poll_times.last_poll_bound(),
         1_200,
         "the machine may not have been asked since the stop"
     );
     event_loop.tick(21_300);
     assert_eq!(
-        poll_times.last_poll_before(21_310),
+        poll_times.last_poll_bound(),
         21_200,
-        "it was asked between two event_loop"
+        "it was asked between two ticks"
     );
 }
 
@@ -275,3 +270,44 @@
         earliest - stopped_at
     );
 }
+
+/// Guards against requests that lay in a socket over a long stop and were taken for new after a short one: between the two
+/// stops the tick's task ran, and the kernel was not polled.
+#[test]
+fn data_keeps_its_age_when_a_tick_between_two_stops_polled_nothing() {
+    const LONG_STOP: std::time::Duration = std::time::Duration::from_millis(300);
+    const SHORT_STOP: std::time::Duration = std::time::Duration::from_millis(100);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let (clock, event_loop) = (Clock::start(), EventLoopClock::default());
+        let any = crate::Address::Tcp("127.0.0.1:0".into());
+        let (mut listener, at) = crate::Network::listen(&crate::SocketNetwork, &any)
+            .await
+            .unwrap();
+        let crate::Address::Tcp(at) = at else {
+            unreachable!("it listens on TCP")
+        };
+        let mut peer = std::net::TcpStream::connect(at).unwrap();
+        let stream = listener.accept().await.unwrap();
+        let mut read = ArrivalReader::new(stream, clock, event_loop.clone());
+        for _ in 0..4 {
+            assert!(!polls_once(&mut read).await);
+            event_loop.tick(clock.now());
+            clock.sleep_until(clock.now() + TICK_INTERVAL).await;
+        }
+        let written = clock.now();
+        std::io::Write::write_all(&mut peer, b"x").unwrap();
+        std::thread::sleep(LONG_STOP);
+        event_loop.tick(clock.now());
+        std::thread::sleep(SHORT_STOP);
+        let came = read.read_more().await.unwrap().unwrap();
+        assert!(
+            came <= written,
+            "it came {} ms late",
+            (came - written) / MILLISECOND
+        );
+    });
+}
