--- a/crates/cli/tests/node_day/record.rs
+++ b/crates/cli/tests/node_day/record.rs
@@ -189,12 +189,28 @@
         }
     }
 
-    fn effects(&self, breaks: &mut Vec<String>) {
+    /// The stops that meet a span, each as milliseconds since the span's begin.
+    fn stops_within(&self, from: Instant, to: Instant) -> Vec<(i128, i128)> {
+        let stops = self.stops.iter();
+        let near = stops.filter(|(began, ended)| *began <= to && *ended >= from);
+        near.map(|(began, ended)| (since(*began, from), since(*ended, from)))
+            .collect()
+    }
+
+    /// The attempts of each request in the order in which they arrived. They are recorded in the order in which they ended.
+    fn attempts_by_request(&self) -> BTreeMap<u64, Vec<&Attempt>> {
         let mut by_request = BTreeMap::<u64, Vec<&Attempt>>::new();
         for attempt in &self.attempts {
             by_request.entry(attempt.id).or_default().push(attempt);
         }
-        for (id, attempts) in by_request {
+        for attempts in by_request.values_mut() {
+            attempts.sort_by_key(|attempt| attempt.arrived);
+        }
+        by_request
+    }
+
+    fn effects(&self, breaks: &mut Vec<String>) {
+        for (id, attempts) in self.attempts_by_request() {
             let request = &self.requests[&id];
             let first_that_may_have_run = attempts.iter().find(|a| !a.provably_never_ran);
             let refused = request
@@ -207,23 +223,10 @@
             {
                 breaks.push(format!("{id}: refused, and may have run"));
             }
-            for (before, after) in attempts.iter().zip(attempts.iter().skip(1)) {
-                let both_out = before.ended.saturating_duration_since(after.arrived);
-                if both_out > SEEN_LATE {
-                    let stops = self.stops.iter().filter(|stop| {
-                        stop.0 <= after.arrived + both_out && stop.1 >= before.arrived
-                    });
-                    let stops: Vec<_> = stops
-                        .map(|stop| (since(stop.0, before.arrived), since(stop.1, before.arrived)))
-                        .collect();
-                    breaks.push(format!(
-                        "{id} ({:?}): two out for {both_out:?}: at {} from 0 to {} ms, at {} from {} ms; stops {stops:?}",
-                        request.effect,
-                        before.invoker,
-                        since(before.ended, before.arrived),
-                        after.invoker,
-                        since(after.arrived, before.arrived),
-                    ));
+            for (n, after) in attempts.iter().enumerate() {
+                let earlier = attempts[..n].iter().max_by_key(|before| before.ended);
+                if let Some(before) = earlier {
+                    breaks.extend(self.two_in_flight(request.effect, before, after));
                 }
                 let Some(first) =
                     first_that_may_have_run.filter(|first| first.arrived < after.arrived)
@@ -244,14 +247,34 @@
         }
     }
 
+    /// The break of an attempt that arrived while an earlier one of the same request had not ended.
+    fn two_in_flight(&self, effect: Effect, before: &Attempt, after: &Attempt) -> Option<String> {
+        let both_out = before.ended.saturating_duration_since(after.arrived);
+        if both_out <= SEEN_LATE {
+            return None;
+        }
+        let stops = self.stops_within(before.arrived, after.arrived + both_out);
+        Some(format!(
+            "{} ({effect:?}): two out for {both_out:?}: at {} from 0 to {} ms, at {} from {} to {} ms; stops {stops:?}",
+            before.id,
+            before.invoker,
+            since(before.ended, before.arrived),
+            after.invoker,
+            since(after.arrived, before.arrived),
+            since(after.ended, before.arrived),
+        ))
+    }
+
     fn attempts_alone(&self, breaks: &mut Vec<String>) {
         for attempt in &self.attempts {
             let (id, request) = (attempt.id, &self.requests[&attempt.id]);
             let left = (request.asked + request.limit).saturating_duration_since(attempt.arrived);
             if attempt.told_limit > left + LIMIT_SLACK {
+                let stops = self.stops_within(request.asked, attempt.arrived);
                 breaks.push(format!(
-                    "{id}: told of {:?}, {left:?} are left",
-                    attempt.told_limit
+                    "{id}: told of {:?}, {left:?} are left {} ms after it was asked; stops {stops:?}",
+                    attempt.told_limit,
+                    since(attempt.arrived, request.asked),
                 ));
             }
             let gone = request
--- /dev/null
+++ b/crates/cli/tests/record_checks.rs
@@ -0,0 +1,95 @@
+//! The checks of `node_day::record`: each finds what it is there for, and nothing else.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "records hold times of this machine"
+)]
+
+mod node_day;
+mod node_peers;
+
+use node_day::record::{Attempt, Effect, Record, Request};
+use std::time::{Duration, Instant};
+
+const REQUEST: u64 = 7;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// An attempt at an invoker over a span of milliseconds since `base`.
+fn attempt(base: Instant, invoker: usize, arrived_ms: u64, ended_ms: u64) -> Attempt {
+    Attempt {
+        id: REQUEST,
+        arrived: base + ms(arrived_ms),
+        ended: base + ms(ended_ms),
+        told_limit: ms(100),
+        provably_never_ran: false,
+        invoker,
+    }
+}
+
+/// The breaks of one request whose attempts were recorded in this order. Its client left late enough to be owed nothing.
+fn breaks_of(effect: Effect, base: Instant, attempts: Vec<Attempt>) -> Vec<String> {
+    let request = Request {
+        connected: base,
+        asked: base,
+        limit: ms(5_000),
+        effect,
+        answers: Vec::new(),
+        left: Some(base + ms(4_000)),
+        dropped_at: None,
+    };
+    let record = Record {
+        requests: [(REQUEST, request)].into(),
+        attempts,
+        ..Record::default()
+    };
+    record.breaks()
+}
+
+/// Guards against a retry that ends at once and is recorded before the attempt that was given up for it, whose thread wakes
+/// a moment later: the whole of the first attempt then counted as time in which two were out.
+#[test]
+fn attempts_are_judged_in_the_order_of_their_arrival() {
+    let base = Instant::now();
+    let (given_up, retry) = (attempt(base, 1, 0, 596), attempt(base, 2, 594, 594));
+    let breaks = breaks_of(Effect::Idempotent, base, vec![retry, given_up]);
+    assert!(breaks.is_empty(), "{breaks:?}");
+}
+
+#[test]
+fn finds_two_attempts_in_flight_in_whatever_order_they_were_recorded() {
+    let base = Instant::now();
+    for reversed in [false, true] {
+        let mut attempts = vec![attempt(base, 1, 0, 200), attempt(base, 2, 100, 300)];
+        if reversed {
+            attempts.reverse();
+        }
+        let breaks = breaks_of(Effect::Idempotent, base, attempts);
+        assert_eq!(breaks.len(), 1, "{breaks:?}");
+        assert!(breaks[0].contains("two out for 100ms"), "{breaks:?}");
+    }
+}
+
+/// The second attempt ends before the third arrives, the first does not.
+#[test]
+fn finds_an_attempt_in_flight_that_is_not_the_last_before() {
+    let base = Instant::now();
+    let attempts = vec![
+        attempt(base, 1, 0, 400),
+        attempt(base, 2, 390, 395),
+        attempt(base, 3, 350, 360),
+    ];
+    let breaks = breaks_of(Effect::Idempotent, base, attempts);
+    assert_eq!(breaks.len(), 1, "{breaks:?}");
+    assert!(breaks[0].contains("at 3 from 350"), "{breaks:?}");
+}
+
+#[test]
+fn finds_a_repeat_that_was_recorded_before_the_attempt_it_repeats() {
+    let base = Instant::now();
+    let attempts = vec![attempt(base, 2, 594, 594), attempt(base, 1, 0, 596)];
+    let breaks = breaks_of(Effect::NonIdempotent, base, attempts);
+    assert_eq!(breaks, ["7: repeated, and may have run"]);
+}
