Planted holder always acts once on the lease it had before a stop

What was seen: planted_faults_of_holders_resources_and_stewards_are_found failed once beside three busy processes; a planted holder, stopped and woken, did no wrong in its second, so the checker had nothing to find.

Cause, in the planted fault: the holder paused 20 ms and then read its lease. Woken in the pause it acts on the old lease; woken with an effect in flight it hears of that effect, pauses, and has meanwhile heard from its coordinator that the lease is gone. Beside load effects take longer, and a stop meets one more often.

Change: the lease is read before the pause, so that it is acted on once more wherever the stop falls. The judge and the test are as they were.

--- a/crates/faulty-peers/src/leases.rs
+++ b/crates/faulty-peers/src/leases.rs
@@ -132,7 +132,8 @@
     }
 }
 
-/// A holder that seals each resource when it first acts on it, and does not wait for the others.
+/// A holder that seals each resource when it first acts on it, and does not wait for the others. It pauses between reading its
+/// lease and acting on it, so that after a stop it always acts once on the lease that it had before.
 pub async fn acts_before_all_seals(
     by: String,
     task: &str,
@@ -143,8 +144,9 @@
     let sealed: RefCell<BTreeMap<(String, u64), u64>> = RefCell::default();
     loop {
         for (name, caller) in &resources {
+            let held = watch.held(task);
             clock.sleep_until(clock.now() + BETWEEN_EFFECTS).await;
-            let Some(held) = watch.held(task) else {
+            let Some(held) = held else {
                 continue;
             };
             let known = sealed.borrow().get(&(name.clone(), held.epoch)).copied();
