The rest of a request does not leave once what it says is stale

An invoker that is told of more time than is left works for nobody.

Cause: whether a request is still good was looked at before its first byte alone. Where the kernel took it in part (a short write, or a peer that does not read) the rest left whenever it could, after a stop too, with the time that was left before.

Why it is safe: what was not sent to its last byte never ran, so the attempt is prepared anew on a new connection as any stale one. The cutoff of a drain still counts from the first byte, as the protocol says.

--- a/crates/platform/src/invoker_connection.rs
+++ b/crates/platform/src/invoker_connection.rs
@@ -34,7 +34,7 @@
     sent_at: Cell<Option<Ticks>>,
     /// Before its first byte was.
     begun_at: Cell<Option<Ticks>>,
-    /// A request was not sent, as its time to leave was over.
+    /// A request was not sent completely, as its time to leave was over.
     is_stale: Cell<bool>,
 }
 
@@ -85,15 +85,19 @@
         *self.send_deadline.borrow_mut() = send_deadline;
     }
 
-    /// Whether nothing of the request left because it would have been out of date.
+    /// Whether the request was not sent, or not to its end, because it would have been out of date.
     pub fn is_stale(&self) -> bool {
         self.is_stale.get()
     }
 
-    /// Whether a request may begin to leave now.
-    fn may_begin_sending(&self) -> bool {
+    /// Whether a request, or what is left of it, may be sent now. One that was sent in part never ran, so it can still be given
+    /// up; the cutoff concerns its first byte alone.
+    fn may_send(&self) -> bool {
         let (now, send_deadline) = (self.clock.now(), self.send_deadline.borrow());
         self.is_stale.set(now >= send_deadline.stale_at);
+        if self.has_begun_sending() {
+            return !self.is_stale.get();
+        }
         self.begun_at.set(Some(now));
         !self.is_stale.get() && now < send_deadline.cutoff.get()
     }
@@ -184,7 +188,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let socket = &self.0;
-        if !socket.has_begun_sending() && !socket.may_begin_sending() {
+        if !socket.sent_completely() && !socket.may_send() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         let polled = self.with(|s| s.poll_write(cx, bytes));
