Play of many faults traces stops between the last look at the clock and a send

A request's X-Limit-Ms is worded from a clock read a moment before the call that sends it. A stop in between makes it too much by the stop's length, and no program can know of it.

--- a/crates/cli/tests/faults/preload.rs
+++ b/crates/cli/tests/faults/preload.rs
@@ -1,7 +1,7 @@
 //! A library to load before a process's own (LD_PRELOAD): system calls on its TCP sockets fail now and then, in the ways that
 //! Linux documents, and its wall clock is stepped. Built by the test that uses it; `FAULTS_EVERY=n` lets every n-th call of a
 //! kind fail, `FAULTS_STEPS=ms:ms,...` sets the wall clock ahead by so much from so long after the start. Faults of files are
-//! in `disk`.
+//! in `disk`. `FAULTS_TRACE=file` keeps which requests the process was stopped under, in `trace`.
 
 use std::ffi::{c_char, c_int, c_void};
 use std::sync::OnceLock;
@@ -45,6 +45,7 @@
 }
 
 mod disk;
+mod trace;
 
 fn fail(code: c_int) {
     unsafe { *__errno_location() = code };
@@ -93,7 +94,9 @@
 #[unsafe(no_mangle)]
 pub extern "C" fn send(fd: c_int, bytes: *const c_void, length: usize, flags: c_int) -> isize {
     let real = real!("send", extern "C" fn(c_int, *const c_void, usize, c_int) -> isize);
-    match is_tcp(fd).then(|| fault(&SENT)).flatten().map(most) {
+    let fault = is_tcp(fd).then(|| fault(&SENT)).flatten();
+    trace::sends(unsafe { std::slice::from_raw_parts(bytes.cast(), length) });
+    match fault.map(most) {
         None => real(fd, bytes, length, flags),
         Some(Some(most)) => real(fd, bytes, length.min(most), flags),
         Some(None) => {
@@ -155,6 +158,9 @@
 pub extern "C" fn clock_gettime(clock: c_int, time: *mut c_void) -> c_int {
     let real = real!("clock_gettime", extern "C" fn(c_int, *mut c_void) -> c_int);
     let done = real(clock, time);
+    if clock == CLOCK_MONOTONIC && done == 0 {
+        trace::read_clock(unsafe { &*time.cast::<Timespec>() });
+    }
     if clock == CLOCK_REALTIME && done == 0 {
         static BEGAN_MS: OnceLock<i64> = OnceLock::new();
         let mut monotonic = Timespec { seconds: 0, nanoseconds: 0 };
--- a/crates/cli/tests/node_day/record.rs
+++ b/crates/cli/tests/node_day/record.rs
@@ -100,6 +100,9 @@
     pub stops: Vec<(Instant, Instant)>,
     /// When it was killed: what it held then is no longer its duty, and its budget of load orders begins anew.
     pub kills: Vec<Instant>,
+    /// How long the process was stopped between its last look at the clock and the call that sent an attempt of a request, by
+    /// the trace of that call. Told with what broke; it excuses nothing.
+    pub stopped_before_sending: BTreeMap<u64, Duration>,
     /// A request that is younger when its connection ends crosses the close, and its client sends it again. None where zero.
     pub close_crossing: Duration,
 }
@@ -272,9 +275,10 @@
             if attempt.told_limit > left + LIMIT_SLACK {
                 let stops = self.stops_within(request.asked, attempt.arrived);
                 breaks.push(format!(
-                    "{id}: told of {:?}, {left:?} are left {} ms after it was asked; stops {stops:?}",
+                    "{id}: told of {:?}, {left:?} are left {} ms after it was asked; stops {stops:?}, before sending {:?}",
                     attempt.told_limit,
                     since(attempt.arrived, request.asked),
+                    self.stopped_before_sending.get(&id),
                 ));
             }
             let gone = request
