An invoker whose connection was lost in an outage of the list is cold when it is ready again

An invoker whose process ends and starts anew while the endpoint list is out of reach, and that is not asked in between, was sent the work of a warm one (rule 4; it can be pushed over, and what it held is lost).

Cause: only its own word that it is not ready, and two refusals in a row, counted as signs of an end. A process that ends resets its connections; what the pools saw of that was not told to the module. And the success of an attempt that was sent before an invoker said that it drains took that sign back.

Change: the pools report connections that the other side refused or ended (Policy::connection_lost). Where such a sign, or the invoker's own word, is younger than what was last heard of the list, and the list vouches no more, its next sign of readiness makes it cold. While the list vouches nothing changes; once it is heard it tells of starts itself. What happens under a sign that came before the list fell silent is kept until then.

What remains: an invoker to which no connection was open when it ended, and a controller that itself starts within the outage.

--- a/crates/controller/src/policy.rs
+++ b/crates/controller/src/policy.rs
@@ -19,6 +19,8 @@
     fn probe_ended(&mut self, _now: Ticks, _result: ProbeResult, _actions: &mut dyn Actions) {}
     /// The endpoint list was heard: everything that it told up to `heard_at` is known.
     fn endpoint_list_heard(&mut self, _now: Ticks, _heard_at: Ticks) {}
+    /// A connection to an invoker was refused, or ended by its other side.
+    fn connection_lost(&mut self, _now: Ticks, _invoker: InvokerId, _noticed_at: Ticks) {}
     /// A timer has come due.
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions);
     /// The view of each ready invoker, where one is kept.
@@ -70,6 +72,9 @@
     fn endpoint_list_heard(&mut self, now: Ticks, heard_at: Ticks) {
         Self::endpoint_list_heard(self, now, heard_at);
     }
+    fn connection_lost(&mut self, now: Ticks, invoker: InvokerId, noticed_at: Ticks) {
+        Self::connection_lost(self, now, invoker, noticed_at);
+    }
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions) {
         Self::timer_fired(self, now, token, actions);
     }
--- a/crates/platform/src/acceptor.rs
+++ b/crates/platform/src/acceptor.rs
@@ -2,7 +2,7 @@
 
 use crate::client_connection::serve_connection;
 use crate::clients::Entry;
-use crate::invoker_pools::log_invoker_views;
+use crate::invoker_pools::{log_invoker_views, report_lost_connections};
 use crate::state::ControllerHandle;
 use saltdrum::interface::{MILLISECOND, Ticks};
 use saltdrum_transport::{ArrivalClock, Listener};
@@ -76,6 +76,9 @@
         let now = handle.clock.now();
         handle.config.clients.close_overdue(now);
         handle.config.look_at_wall_clock(now);
-        handle.update(|state| state.invocations.transport.sweep(now));
+        handle.update(|state| {
+            state.invocations.transport.sweep(now);
+            report_lost_connections(state);
+        });
     }
 }
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -3,6 +3,7 @@
 
 use crate::descriptor_guard::DescriptorGuard;
 use crate::invoker_connection::{InvokerConnection, InvokerResponse, SendDeadline};
+use crate::invoker_pools::report_lost_connections;
 use crate::state::ControllerHandle;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,6 +14,7 @@
 use saltdrum_platform_wire::{frames, http};
 use saltdrum_transport::{Address, ReadBacklog, is_local_failure};
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{debug, info};
@@ -108,7 +110,12 @@
             tokio::time::timeout(self.within, self.handle.network.dial(&self.address)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(e.into()),
+            Ok(Err(e)) => {
+                if e.kind() == ErrorKind::ConnectionRefused {
+                    self.note_lost_connection();
+                }
+                return Err(e.into());
+            }
             Err(_) => {
                 let why = format!("no connection within {} ms", self.within.as_millis());
                 return Err(DialFailure {
@@ -136,12 +143,22 @@
         Ok(line)
     }
 
+    /// The invoker refused a connection of this request, or ended it.
+    fn note_lost_connection(&self) {
+        self.handle.update(|state| {
+            let now = state.invocations.now;
+            let pools = &mut state.invocations.transport;
+            pools.connection_lost(now, self.invoker, self.epoch);
+        });
+    }
+
     /// Goes over `line`, or a new one where there is none or it breaks before the request was sent completely.
     async fn go(&self, line: Option<InvokerConnection>, most: usize) -> AttemptEnd {
         if let Some(line) = line {
             match self.over(line, most).await {
                 AttemptEnd::NotSent(why) => {
-                    debug!(invoker = self.invoker, why, "idle connection was broken")
+                    debug!(invoker = self.invoker, why, "idle connection was broken");
+                    self.note_lost_connection();
                 }
                 AttemptEnd::Stale => debug!(
                     invoker = self.invoker,
@@ -177,7 +194,10 @@
             .await
         {
             Ok(response) => AttemptEnd::Answered(response, line),
-            Err(why) if line.socket.sent_completely() => AttemptEnd::Lost(why),
+            Err(why) if line.socket.sent_completely() => {
+                self.note_lost_connection();
+                AttemptEnd::Lost(why)
+            }
             Err(_) if line.socket.is_stale() => AttemptEnd::Stale,
             Err(why) => AttemptEnd::NotSent(why),
         }
@@ -251,6 +271,7 @@
         }
     };
     attempt.handle.update(|state| {
+        report_lost_connections(state);
         if !state.invocations.transport.finish(request_id) {
             return;
         }
@@ -288,6 +309,7 @@
         }
     };
     attempt.handle.update(|state| {
+        report_lost_connections(state);
         if !state.invocations.transport.finish(request_id) {
             return;
         }
@@ -315,6 +337,7 @@
         Err(_) => (ProbeOutcome::TimedOut, None),
     };
     attempt.handle.update(|state| {
+        report_lost_connections(state);
         let now = state.invocations.now;
         let pools = &mut state.invocations.transport;
         let sent_at = pools.begun_at(request_id).unwrap_or(started_at);
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -10,7 +10,6 @@
 use crate::state::ControllerHandle;
 use bytes::Bytes;
 use saltdrum::interface::*;
-use saltdrum_platform_wire::feed::id_text;
 use saltdrum_transport::{Address, ReadBacklog};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -18,21 +17,18 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tracing::{debug, warn};
+use tracing::debug;
 
+mod idle_connections;
 mod list_changes;
+mod lost_connections;
 mod transport;
 mod views;
 
 pub(crate) use list_changes::apply_list_change;
+pub(crate) use lost_connections::report_lost_connections;
 pub(crate) use views::log_invoker_views;
 
-/// An idle connection is closed before the invoker would close it: at this fraction of the configured idle timeout.
-const IDLE_TIMEOUT_FRACTION: (Ticks, Ticks) = (3, 4);
-/// A connection is not reused for this long after a response, as measured at event loop polls: a duplicate response, or
-/// noise, may come some milliseconds late, and would be read as the response to the next request.
-const CONNECTION_REUSE_DELAY: Ticks = 30 * MILLISECOND;
-
 /// What the attempts of an invocation carry.
 pub(crate) struct Payload {
     pub trigger: usize,
@@ -176,6 +172,8 @@
     pools: BTreeMap<InvokerId, Pool>,
     requests: BTreeMap<u64, PendingRequest>,
     last_request: u64,
+    /// Invokers that ended connections, each with when that was noticed; not reported to the policy yet.
+    lost_connections: BTreeMap<InvokerId, Ticks>,
     /// When load orders were sent whose end is being reported.
     load_sent_times: BTreeMap<u64, Ticks>,
     /// Connections that are open, being made or just aborted, idle ones among them.
@@ -200,6 +198,7 @@
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             last_request: 0,
+            lost_connections: BTreeMap::new(),
             load_sent_times: BTreeMap::new(),
             open: Rc::default(),
             held_bytes: Rc::default(),
@@ -245,62 +244,6 @@
         }
     }
 
-    /// Drops idle connections that the invoker would soon close or that are broken, and pools of invokers that are gone.
-    pub fn sweep(&mut self, now: Ticks) {
-        let max_idle_time = self.max_idle_time();
-        for pool in self.pools.values_mut() {
-            pool.idle.retain(|(since, connection)| {
-                now < since + max_idle_time && connection.is_reusable()
-            });
-        }
-        self.pools
-            .retain(|_, pool| pool.status != InvokerStatus::Gone || pool.active_requests > 0);
-    }
-
-    /// Makes capacity for one more connection: closes the one that was idle longest, wherever it leads.
-    fn make_capacity(&mut self) -> bool {
-        if self.open.get() < self.budget.lines {
-            return true;
-        }
-        let longest = self
-            .pools
-            .iter()
-            .filter_map(|(invoker, pool)| Some((pool.idle.first()?.0, *invoker)))
-            .min();
-        let Some(pool) = longest.and_then(|(_, invoker)| self.pools.get_mut(&invoker)) else {
-            return false;
-        };
-        pool.idle.remove(0);
-        self.open.get() < self.budget.lines
-    }
-
-    /// How long an idle connection may be kept.
-    fn max_idle_time(&self) -> Ticks {
-        self.connection_idle_timeout * IDLE_TIMEOUT_FRACTION.0 / IDLE_TIMEOUT_FRACTION.1
-    }
-
-    /// Takes the freshest idle connection that may be reused now, and drops those that may not any more.
-    fn take_idle(
-        &mut self,
-        now: Ticks,
-        last_polled: Ticks,
-        invoker: InvokerId,
-    ) -> Option<InvokerConnection> {
-        let max_idle_time = self.max_idle_time();
-        let pool = self.pools.get_mut(&invoker)?;
-        for i in (0..pool.idle.len()).rev() {
-            let since = pool.idle[i].0;
-            if last_polled < since + CONNECTION_REUSE_DELAY {
-                continue;
-            }
-            let (_, idle) = pool.idle.remove(i);
-            if now < since + max_idle_time && idle.is_reusable() {
-                return Some(idle);
-            }
-        }
-        None
-    }
-
     /// Starts a request. `Err`: it was never sent.
     fn start(
         &mut self,
@@ -383,32 +326,6 @@
         self.requests.get(&request)?.socket.as_ref()?.begun_at()
     }
 
-    /// Logs when an invoker's own word on its readiness changes.
-    pub(crate) fn log_readiness(&mut self, invoker: InvokerId, outcome: ProbeOutcome) {
-        let Some(pool) = self.pools.get_mut(&invoker) else {
-            return;
-        };
-        let id = id_text(invoker);
-        let was_not_ready = pool.is_not_ready;
-        match outcome {
-            ProbeOutcome::NotReady => pool.is_not_ready = true,
-            ProbeOutcome::Ready => pool.is_not_ready = false,
-            _ => debug!(id, ?outcome, "probe without an answer"),
-        }
-        match (was_not_ready, pool.is_not_ready) {
-            (false, true) => warn!(id, "invoker takes no new work, by its own word"),
-            (true, false) => warn!(id, "invoker takes new work again, by its own word"),
-            _ => {}
-        }
-    }
-
-    /// Logs, once for each time that the feed is lost, that invokers are probed before they get new work.
-    fn log_list_out_of_date(&self, now: Ticks) {
-        if let Some(handle) = self.handle.upgrade() {
-            handle.config.feed.log_out_of_date(now);
-        }
-    }
-
     /// Aborts a request: its connection is closed at once.
     fn abort(&mut self, request: u64) {
         let Some(request) = self.requests.remove(&request) else {
@@ -422,21 +339,4 @@
         }
         request.task.abort();
     }
-
-    /// Takes back a connection whose request has ended, unless it leads to another process by now.
-    pub(crate) fn return_connection(
-        &mut self,
-        now: Ticks,
-        invoker: InvokerId,
-        epoch: u32,
-        connection: InvokerConnection,
-    ) {
-        if let Some(pool) = self
-            .pools
-            .get_mut(&invoker)
-            .filter(|pool| pool.epoch == epoch && pool.status != InvokerStatus::Gone)
-        {
-            pool.idle.push((now, connection));
-        }
-    }
 }
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -1,10 +1,11 @@
-//! The periodic log of counters and of the policy's view of each invoker.
+//! What is logged of invokers: counters, the policy's view of each, and what each says of its readiness.
 
-use super::RequestKind;
+use super::{InvokerPools, RequestKind};
 use crate::endpoint_watch::EndpointWatch;
 use crate::state::ControllerState;
-use saltdrum::interface::{InvokerView, MILLISECOND};
-use tracing::info;
+use saltdrum::interface::{InvokerId, InvokerView, MILLISECOND, ProbeOutcome, Ticks};
+use saltdrum_platform_wire::feed::id_text;
+use tracing::{debug, info, warn};
 
 /// Logs the counters, and what the policy believes of each invoker beside what is on its sockets.
 pub(crate) fn log_invoker_views(state: &ControllerState, feed: &EndpointWatch) {
@@ -56,7 +57,7 @@
     let on_sockets = attempts.filter(|attempt| attempt.is_at_invoker()).count();
     let pool = transport.pools.get(&view.invoker);
     info!(
-        id = saltdrum_platform_wire::feed::id_text(view.invoker),
+        id = id_text(view.invoker),
         out = view.in_flight,
         sent,
         on_sockets,
@@ -67,3 +68,31 @@
         "belief"
     );
 }
+
+impl InvokerPools {
+    /// Logs when an invoker's own word on its readiness changes.
+    pub(crate) fn log_readiness(&mut self, invoker: InvokerId, outcome: ProbeOutcome) {
+        let Some(pool) = self.pools.get_mut(&invoker) else {
+            return;
+        };
+        let id = id_text(invoker);
+        let was_not_ready = pool.is_not_ready;
+        match outcome {
+            ProbeOutcome::NotReady => pool.is_not_ready = true,
+            ProbeOutcome::Ready => pool.is_not_ready = false,
+            _ => debug!(id, ?outcome, "probe without an answer"),
+        }
+        match (was_not_ready, pool.is_not_ready) {
+            (false, true) => warn!(id, "invoker takes no new work, by its own word"),
+            (true, false) => warn!(id, "invoker takes new work again, by its own word"),
+            _ => {}
+        }
+    }
+
+    /// Logs, once for each time that the feed is lost, that invokers are probed before they get new work.
+    pub(super) fn log_list_out_of_date(&self, now: Ticks) {
+        if let Some(handle) = self.handle.upgrade() {
+            handle.config.feed.log_out_of_date(now);
+        }
+    }
+}
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -7,6 +7,7 @@
 mod degraded_peers;
 mod endpoint_list;
 mod hostile_clients;
+mod lost_connections;
 mod partial_sends;
 mod races;
 mod rules;
--- a/crates/platform/src/tests/support.rs
+++ b/crates/platform/src/tests/support.rs
@@ -249,6 +249,8 @@
 
 thread_local! {
     pub(crate) static TOLD: RefCell<Vec<(Outcome, bool)>> = const { RefCell::new(Vec::new()) };
+    /// Invokers that were reported to have ended connections.
+    pub(crate) static LOST: RefCell<Vec<InvokerId>> = const { RefCell::new(Vec::new()) };
 }
 
 /// What is dispatched for it is cancelled in the same turn.
@@ -281,6 +283,9 @@
     }
     fn load_ended(&mut self, _: Ticks, _: LoadResult, _: &mut dyn Actions) {}
     fn timer_fired(&mut self, _: Ticks, _: u64, _: &mut dyn Actions) {}
+    fn connection_lost(&mut self, _: Ticks, invoker: InvokerId, _: Ticks) {
+        LOST.with_borrow_mut(|lost| lost.push(invoker));
+    }
 }
 
 pub(crate) async fn answer(client: &mut FrameClient) -> Answered {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -180,9 +180,7 @@
         let request = state.request.clone();
         if result.outcome == Outcome::Succeeded {
             self.record_first_success(&request);
-            if let Some(invoker) = self.invokers.get_mut(&attempt.invoker) {
-                invoker.confirmation.took_work(attempt.sent_at);
-            }
+            self.invoker_was_ready(attempt.invoker, attempt.sent_at);
         }
         self.record_attempt(&request, &attempt, &result);
         (attempt.continuation)(self, actions);
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -6,7 +6,6 @@
 
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::invocations::InvocationState;
-use super::invokers::InvokerState;
 use super::{Continuation, DispatchPolicy};
 use crate::interface::{
     Actions, InvocationId, InvokerId, ProbeOutcome, ProbeResult, ReadinessCounts, Ticks,
@@ -29,20 +28,12 @@
     /// When it was ready by its own word, at the latest.
     ready_at: Option<Ticks>,
     is_probe_in_flight: bool,
-    /// Its last word was that it is not ready.
-    was_not_ready: bool,
+    /// The last sign that its process may end or have ended: its own word that it is not ready, or a connection that it ended.
+    may_have_ended_at: Option<Ticks>,
     /// What continues when the probe ends.
     waiting: Vec<Continuation>,
 }
 
-impl Confirmation {
-    /// It took work that was sent at `at`: it was ready then.
-    pub(super) fn took_work(&mut self, at: Ticks) {
-        self.ready_at = self.ready_at.max(Some(at));
-        self.was_not_ready = false;
-    }
-}
-
 impl DispatchPolicy {
     /// Everything that the endpoint list told up to `heard_at` is known. Where the list has a lifetime, each sign of life of it
     /// is reported here, also one that brings no change.
@@ -54,17 +45,51 @@
     /// New work to an invoker begins to be sent before this, or not at all. Only half of the grace is used: the other half is
     /// for its way.
     pub(super) fn new_work_deadline(&self, invoker_id: InvokerId) -> Ticks {
-        let Some(lifetime) = self.deployment.list_lifetime else {
+        let Some(by_list) = self.list_deadline() else {
             return Ticks::MAX;
         };
-        let by_list = self.list_age.heard_at.map(|at| at + lifetime);
-        let by_itself = self
+        let ready_at = self
             .invokers
             .get(&invoker_id)
             .and_then(|invoker| invoker.confirmation.ready_at);
-        by_list
-            .max(by_itself)
-            .map_or(0, |at| at + self.deployment.drain_grace / 2)
+        let by_itself = ready_at.map_or(0, |at| at + self.deployment.drain_grace / 2);
+        by_list.max(by_itself)
+    }
+
+    /// A connection to an invoker was refused, or ended by its other side, as was noticed at `noticed_at`: its process may have
+    /// ended.
+    pub fn connection_lost(&mut self, now: Ticks, invoker_id: InvokerId, noticed_at: Ticks) {
+        self.advance_clock(now);
+        if let Some(invoker) = self.invokers.get_mut(&invoker_id) {
+            let ended_at = &mut invoker.confirmation.may_have_ended_at;
+            *ended_at = (*ended_at).max(Some(noticed_at));
+        }
+    }
+
+    /// An invoker said that it is ready, or took work, of `at` or later. Where its process may have ended since the list was
+    /// heard, it may be another process by now, and cold (rule 4): nobody tells of its start while the list is out of reach.
+    pub(super) fn invoker_was_ready(&mut self, invoker_id: InvokerId, at: Ticks) {
+        let (now, heard_at) = (self.now, self.list_age.heard_at);
+        let list_vouches = self.list_deadline().is_none_or(|deadline| now < deadline);
+        let Some(invoker) = self.invokers.get_mut(&invoker_id) else {
+            return;
+        };
+        let confirmation = &mut invoker.confirmation;
+        confirmation.ready_at = confirmation.ready_at.max(Some(at));
+        let may_be_new = confirmation
+            .may_have_ended_at
+            .is_some_and(|ended_at| Some(ended_at) > heard_at && ended_at <= at);
+        if may_be_new && !list_vouches {
+            confirmation.may_have_ended_at = None;
+            invoker.first_seen = Some(now);
+        }
+    }
+
+    /// The list vouches for its invokers until then; none: for as long as the controller lives.
+    fn list_deadline(&self) -> Option<Ticks> {
+        let lifetime = self.deployment.list_lifetime?;
+        let heard_at = self.list_age.heard_at;
+        Some(heard_at.map_or(0, |at| at + lifetime + self.deployment.drain_grace / 2))
     }
 
     /// Whether new work may be sent to an invoker now.
@@ -143,10 +168,10 @@
             self.fleet.suspects.insert(result.invoker);
         }
         match result.outcome {
-            ProbeOutcome::Ready => invoker.became_ready(now, result.sent_at),
+            ProbeOutcome::Ready => self.invoker_was_ready(result.invoker, result.sent_at),
             ProbeOutcome::NotReady => {
                 self.list_age.counts.not_ready += 1;
-                invoker.confirmation.was_not_ready = true;
+                invoker.confirmation.may_have_ended_at = Some(now);
                 invoker.eject(now);
             }
             ProbeOutcome::Unreachable => {
@@ -192,14 +217,3 @@
         })
     }
 }
-
-impl InvokerState {
-    /// It says that it is ready, of `at` or later. Who was not ready before may be another process by now, and cold (rule 4):
-    /// nobody tells of its start while the list is out of reach.
-    fn became_ready(&mut self, now: Ticks, at: Ticks) {
-        if self.confirmation.was_not_ready {
-            self.first_seen = Some(now);
-        }
-        self.confirmation.took_work(at);
-    }
-}
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -186,6 +186,56 @@
     assert!(sent < 20, "{sent} to an invoker that may have started anew");
 }
 
+/// Guards against a process that ends and starts anew between two probes and is sent the work of a warm one.
+#[test]
+fn invoker_that_lost_its_connections_is_cold_when_it_is_ready_again() {
+    let mut bed = TestBed::new(with_lifetime(), 1);
+    assert_eq!(sent_of_calls(&mut bed, 60), 60, "warm");
+    bed.lose_connection(1);
+    bed.advance(SECOND);
+    let sent = sent_of_calls(&mut bed, 60);
+    assert!(sent < 20, "{sent} to an invoker that may have started anew");
+}
+
+#[test]
+fn connection_lost_after_the_list_was_heard_last_counts_once_the_list_vouches_no_more() {
+    let mut bed = heard(with_lifetime(), 1);
+    bed.advance(SECOND);
+    bed.lose_connection(1);
+    assert_eq!(sent_of_calls(&mut bed, 60), 60, "the list vouches for it");
+    bed.advance(LIFETIME);
+    let sent = sent_of_calls(&mut bed, 60);
+    assert!(sent < 20, "{sent} to an invoker that may have started anew");
+}
+
+#[test]
+fn list_that_was_heard_since_tells_whether_an_invoker_started_anew() {
+    let mut bed = heard(with_lifetime(), 1);
+    bed.lose_connection(1);
+    bed.advance(SECOND);
+    bed.hear_endpoint_list();
+    bed.advance(LIFETIME + HALF_GRACE);
+    assert_eq!(sent_of_calls(&mut bed, 60), 60, "it did not start anew");
+}
+
+/// Guards against the last work of a draining process, which made its successor warm.
+#[test]
+fn work_that_was_sent_before_an_invoker_drained_says_nothing_of_its_successor() {
+    let mut bed = TestBed::new(with_lifetime(), 1);
+    assert_eq!(sent_of_calls(&mut bed, 60), 60, "warm");
+    let under_way = bed.invoke(0, 1, 4 * SECOND);
+    assert_eq!(last_invoker(&bed, under_way), Some(1));
+    bed.advance(HALF_GRACE);
+    bed.invoke(0, 1, 4 * SECOND);
+    bed.advance(ROUND_TRIP);
+    bed.end_probe(ProbeOutcome::NotReady);
+    bed.advance(ROUND_TRIP);
+    bed.end_attempt(under_way, 0, Outcome::Succeeded, Some(StartKind::Warm));
+    bed.advance(SECOND);
+    let sent = sent_of_calls(&mut bed, 60);
+    assert!(sent < 20, "{sent} to an invoker that may have started anew");
+}
+
 #[test]
 fn planned_loads_wait_for_the_word_of_their_invoker() {
     let reports_misses = Deployment {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -482,6 +482,12 @@
         self.policy.endpoint_list_heard(now, now);
     }
 
+    /// A connection to an invoker is lost now.
+    pub(crate) fn lose_connection(&mut self, invoker: InvokerId) {
+        let now = self.checker.now;
+        self.policy.connection_lost(now, invoker, now);
+    }
+
     /// The oldest probe ends, as sent when it was asked for.
     pub(crate) fn end_probe(&mut self, outcome: ProbeOutcome) -> InvokerId {
         let (invoker, sent_at) = self.checker.probes.remove(0);
