--- a/crates/cli/tests/node_day/mod.rs
+++ b/crates/cli/tests/node_day/mod.rs
@@ -8,6 +8,7 @@
 pub mod feed;
 pub mod invoker;
 pub mod record;
+pub mod send_trace;
 
 use crate::node_peers::{configuration, write};
 use client::CLASSES;
--- /dev/null
+++ b/crates/cli/tests/node_day/send_trace.rs
@@ -0,0 +1,40 @@
+//! The library of faults' trace of attempts that were sent after a stop which the process can't know of: it fell between the
+//! last look at the clock and the call that sent them.
+
+use super::record::Attempt;
+use std::path::Path;
+use std::time::Duration;
+
+/// An attempt that was worded before such a stop, and sent after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoppedSend {
+    pub id: u64,
+    pub told_limit: Duration,
+    /// How long the stop was.
+    pub stopped: Duration,
+}
+
+impl StoppedSend {
+    /// Whether it is this attempt: its request, with the very limit that it told.
+    pub fn is_of(&self, attempt: &Attempt) -> bool {
+        (self.id, self.told_limit) == (attempt.id, attempt.told_limit)
+    }
+}
+
+fn read_line(line: &str) -> Option<StoppedSend> {
+    let mut words = line.split(' ');
+    let id = u64::from_str_radix(words.next()?, 16).ok()?;
+    let mut next_ms = || Some(Duration::from_millis(words.next()?.parse().ok()?));
+    Some(StoppedSend {
+        id,
+        told_limit: next_ms()?,
+        stopped: next_ms()?,
+    })
+}
+
+/// Reads the trace; empty where none was written.
+pub fn read(trace: &Path) -> Vec<StoppedSend> {
+    let text = std::fs::read_to_string(trace).unwrap_or_default();
+    let read = |line| read_line(line).expect("an id, a limit and a gap");
+    text.lines().map(read).collect()
+}
