--- a/crates/controller/src/policy.rs
+++ b/crates/controller/src/policy.rs
@@ -21,8 +21,6 @@
     fn endpoint_list_heard(&mut self, _now: Ticks, _heard_at: Ticks) {}
     /// A connection to an invoker was refused, or ended by its other side.
     fn connection_lost(&mut self, _now: Ticks, _invoker: InvokerId, _noticed_at: Ticks) {}
-    /// No connection to an invoker was open when it was probed.
-    fn invoker_unconnected(&mut self, _now: Ticks, _invoker: InvokerId, _noticed_at: Ticks) {}
     /// A timer has come due.
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions);
     /// The view of each ready invoker, where one is kept.
@@ -77,9 +75,6 @@
     fn connection_lost(&mut self, now: Ticks, invoker: InvokerId, noticed_at: Ticks) {
         Self::connection_lost(self, now, invoker, noticed_at);
     }
-    fn invoker_unconnected(&mut self, now: Ticks, invoker: InvokerId, noticed_at: Ticks) {
-        Self::invoker_unconnected(self, now, invoker, noticed_at);
-    }
     fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions) {
         Self::timer_fired(self, now, token, actions);
     }
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -174,8 +174,6 @@
     last_request: u64,
     /// Invokers that ended connections, each with when that was noticed; not reported to the policy yet.
     lost_connections: BTreeMap<InvokerId, Ticks>,
-    /// Invokers that were probed while no connection to them was open, likewise.
-    unconnected: BTreeMap<InvokerId, Ticks>,
     /// When load orders were sent whose end is being reported.
     load_sent_times: BTreeMap<u64, Ticks>,
     /// Connections that are open, being made or just aborted, idle ones among them.
@@ -201,7 +199,6 @@
             requests: BTreeMap::new(),
             last_request: 0,
             lost_connections: BTreeMap::new(),
-            unconnected: BTreeMap::new(),
             load_sent_times: BTreeMap::new(),
             open: Rc::default(),
             held_bytes: Rc::default(),
@@ -266,11 +263,6 @@
             return Err(Outcome::NotSent);
         }
         let pool = self.pools.get_mut(&invoker).ok_or(Outcome::NoConnection)?;
-        let is_unconnected =
-            connection.is_none() && pool.idle.is_empty() && pool.active_requests == 0;
-        if is_unconnected && matches!(kind, RequestKind::Probe) {
-            self.unconnected.insert(invoker, now);
-        }
         pool.active_requests += 1;
         let (epoch, address) = (pool.epoch, Address::Tcp(pool.address.to_string()));
         let send_deadline = pool.send_deadline(&kind, now + self.connect_timeout);
--- a/crates/platform/src/invoker_pools/lost_connections.rs
+++ b/crates/platform/src/invoker_pools/lost_connections.rs
@@ -14,13 +14,9 @@
     }
 }
 
-/// Reports to the policy the connections that were lost, and the invokers that were probed without one, since the last report.
+/// Reports to the policy the connections that were lost since the last report.
 pub(crate) fn report_lost_connections(state: &mut ControllerState) {
     let now = state.invocations.now;
-    let unconnected = std::mem::take(&mut state.invocations.transport.unconnected);
-    for (invoker, noticed_at) in unconnected {
-        state.policy.invoker_unconnected(now, invoker, noticed_at);
-    }
     let lost = std::mem::take(&mut state.invocations.transport.lost_connections);
     for (invoker, noticed_at) in lost {
         state.policy.connection_lost(now, invoker, noticed_at);
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -66,14 +66,6 @@
         }
     }
 
-    /// No connection to an invoker was open at `noticed_at`, so that nothing would have told of the end of its process. A
-    /// controller that has not heard its list yet has no connection to anybody, and takes nobody for cold by that.
-    pub fn invoker_unconnected(&mut self, now: Ticks, invoker_id: InvokerId, noticed_at: Ticks) {
-        if self.list_age.heard_at.is_some() {
-            self.connection_lost(now, invoker_id, noticed_at);
-        }
-    }
-
     /// An invoker said that it is ready, or took work, of `at` or later. Where its process may have ended since the list was
     /// heard, it may be another process by now, and cold (rule 4): nobody tells of its start while the list is out of reach.
     pub(super) fn invoker_was_ready(&mut self, invoker_id: InvokerId, at: Ticks) {
