A guessed start of an invoker ends when the list is heard again

What callers saw: an invoker whose connection was lost in an outage of the list kept the share of a cold one for the whole warm-up, 8 s and more, though the list was back after two.

Change: the guess has a place of its own (possible_start) and holds until the list is heard, which tells of starts itself.

--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -6,6 +6,7 @@
 
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::invocations::InvocationState;
+use super::invokers::InvokerState;
 use super::{Continuation, DispatchPolicy};
 use crate::interface::{
     Actions, InvocationId, InvokerId, ProbeOutcome, ProbeResult, ReadinessCounts, Ticks,
@@ -30,6 +31,8 @@
     is_probe_in_flight: bool,
     /// The last sign that its process may end or have ended: its own word that it is not ready, or a connection that it ended.
     may_have_ended_at: Option<Ticks>,
+    /// When it was first ready after such a sign, so that it may have just started. Good until the list is heard, which tells.
+    possible_start: Option<Ticks>,
     /// What continues when the probe ends.
     waiting: Vec<Continuation>,
 }
@@ -81,10 +84,16 @@
             .is_some_and(|ended_at| Some(ended_at) > heard_at && ended_at <= at);
         if may_be_new && !list_vouches {
             confirmation.may_have_ended_at = None;
-            invoker.first_seen = Some(now);
+            confirmation.possible_start = Some(now);
         }
     }
 
+    /// When an invoker may have started, where the list has not been heard since and could not tell.
+    pub(super) fn possible_start(&self, invoker: &InvokerState) -> Option<Ticks> {
+        let started_at = invoker.confirmation.possible_start;
+        started_at.filter(|at| Some(*at) > self.list_age.heard_at)
+    }
+
     /// The list vouches for its invokers until then; none: for as long as the controller lives.
     fn list_deadline(&self) -> Option<Ticks> {
         let lifetime = self.deployment.list_lifetime?;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -54,7 +54,8 @@
 impl DispatchPolicy {
     /// Share of its full capacity that an invoker has at least, by the slowest configured warm-up.
     pub(super) fn warm_up_share(&self, invoker: &InvokerState) -> f64 {
-        let Some(started_at) = invoker.record.started_at.max(invoker.first_seen) else {
+        let seen = invoker.first_seen.max(self.possible_start(invoker));
+        let Some(started_at) = invoker.record.started_at.max(seen) else {
             return 1.0;
         };
         let age =
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -219,6 +219,16 @@
     assert!(sent < 20, "{sent} to an invoker that may have started anew");
 }
 
+#[test]
+fn list_that_is_heard_again_ends_the_guess_that_an_invoker_started_anew() {
+    let mut bed = TestBed::new(with_lifetime(), 1);
+    bed.lose_connection(1);
+    bed.advance(SECOND);
+    assert!(sent_of_calls(&mut bed, 60) < 20, "may have started anew");
+    bed.hear_endpoint_list();
+    assert_eq!(sent_of_calls(&mut bed, 60), 60, "it did not start anew");
+}
+
 #[test]
 fn list_that_was_heard_since_tells_whether_an_invoker_started_anew() {
     let mut bed = heard(with_lifetime(), 1);
