--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -156,8 +156,10 @@
 class Invoker:
     """An invoker: runs functions that it holds, answers `miss` to others, loads on order."""
 
-    def __init__(self, number, record, known_items, run_s, load_s):
+    def __init__(self, number, record, known_items, run_s, load_s, loads_by_itself=False):
         self.number, self.record = number, record
+        # Whether it loads a function that it lacks while the request waits (`not_loaded`: `load`), or answers `miss`.
+        self.loads_by_itself = loads_by_itself
         self.known_items, self.run_s, self.load_s = known_items, run_s, load_s
         self.loaded = set()
         self.requests = 0
@@ -211,13 +213,21 @@
     async def run(self, writer, verb, named, body):
         self.requests += 1
         item, txn = named["x-name"], named["x-txn"]
+        how = "resident"
+        if item not in self.loaded and self.loads_by_itself:
+            if item not in self.known_items:
+                # What they can't use, invokers answer with 'error'.
+                return self.answer(writer, "500 Error")
+            await asyncio.sleep(self.load_s)
+            self.loaded.add(item)
+            how = "booted"
         if item not in self.loaded:
             self.misses += 1
             return self.answer(writer, "404 Miss")
         self.runs.append(txn)
         self.record.write("invoker %d runs %s" % (self.number, txn))
         await asyncio.sleep(self.run_s)
-        self.answer(writer, "200 OK", ["X-How: resident"], b"made for " + txn.encode())
+        self.answer(writer, "200 OK", ["X-How: " + how, "X-Gauges: util:0.2"], b"made for " + txn.encode())
 
 
 class Node:
@@ -338,12 +348,33 @@
     return settings
 
 
+def market_settings():
+    """Settings within the ranges of the deployment market-models, of a day with three controllers."""
+    settings = agap_settings()
+    settings.update(zones=["ljubljana-dc"], kinds=["std-3core"])
+    settings["classes"] = [
+        {
+            "name": "produce-check", "aim_ms": 1000.0, "give_up_ms": 3000.0, "effect": "safe", "key_scope": "all",
+            "repeat_window_ms": 5000.0, "worth": 1.0, "late_share": 0.2, "stream": False,
+        }
+    ]  # fmt: skip
+    settings["bounds"]["try_limit"] = 5
+    settings["family_info"].update(
+        kind_memory_mb=[16000.0], linger_idle_ms=8700.0, load_share=0.0, load_window_ms=0.0, loads_anyway=0.0,
+        not_loaded="load", notes_peers_in_hand=False,
+    )  # fmt: skip
+    settings["reporting"] = {"how": "answers", "fields": ["util"]}
+    settings["rules"].update(cold_from=0.2, cold_ms=17000.0, drain_grace_ms=500.0, tip_after_ms=1000.0)
+    return settings
+
+
 def start_file(feed, invokers, settings, memory_mb=192, sockets=256):
     """The start file of one controller; all invokers are up since long ago."""
     members = [
         {
-            "id": "s-%08x" % invoker.number, "host_port": invoker.address, "locality": "hall-" + "abc"[index % 3],
-            "flavor": "fast-4", "cell": index % 3, "phase": "up", "size": 4, "up_since_ms": 0,
+            "id": "s-%08x" % invoker.number, "host_port": invoker.address,
+            "locality": settings["zones"][index % len(settings["zones"])], "flavor": settings["kinds"][0],
+            "cell": index % len(settings["zones"]), "phase": "up", "size": 4, "up_since_ms": 0,
         }
         for index, invoker in enumerate(invokers)
     ]  # fmt: skip
@@ -413,6 +444,7 @@
         self.limit_ms, self.pause_s = limit_ms, pause_s
         self.counts = {"served": 0, "refused": 0, "failed": 0, "lost": 0, "unsent": 0}
         self.ended = False
+        self.watch_s = 0.0
 
     async def run(self):
         connection = None
@@ -429,18 +461,26 @@
             item = self.items[int.from_bytes(os.urandom(2), "big") % len(self.items)]
             unique = os.urandom(16).hex() if self.verb == "order-hold" else None
             sent_at = time.time()
-            extras = "memory_mb:3000;lanes:4;load_ms:900"
+            extras = "memory_mb:700;lanes:4;load_ms:900"
             answer = connection.send(self.verb, txn, self.limit_ms, item, extras, unique=unique)
-            try:
-                # Up to half a second after its time an answer only earns nothing.
-                result = await asyncio.wait_for(answer, self.limit_ms / 1000 + 0.55)
-            except asyncio.TimeoutError:
-                result = None
-            word = "lost" if result is None else WORDS[result[0]]
+            # Up to half a second after its time an answer only earns nothing, and every limit is longer by 50 ms.
+            # Whether it comes at all is watched for longer.
+            last_s = self.limit_ms / 1000 + 0.55
+            done, _ = await asyncio.wait([answer], timeout=last_s + self.watch_s)
+            result = answer.result() if done else None
+            took_s = time.time() - sent_at
+            word, said = ("lost", "no answer") if result is None else (WORDS[result[0]], WORDS[result[0]])
+            if result is None and done:
+                said = "connection ended without an answer"
             if word == "served" and result[2] != b"made for " + txn.encode():
-                word = "lost"
+                word, said = "lost", "served, with a body that no invoker made for it"
+            if result is not None and took_s > last_s:
+                word, said = "lost", said + ", too late"
             self.counts[word] += 1
-            self.record.write("client %s %s %s after %.0f ms" % (self.verb, txn, word, (time.time() - sent_at) * 1000))
+            self.record.write(
+                "client %s %s (limit %d ms) %s: %s after %.0f ms"
+                % (self.verb, txn, self.limit_ms, word, said, took_s * 1000)
+            )
         if connection is not None:
             connection.close()
 
