Log the sizes of the decision module's tables with the counts of each second

Need: a controller passes its memory limit while bad clients take back requests for ids that no invoker knows, and the log could not tell which table grows: functions, waits, timers or invocations.

Change: `TableSizes` also counts unproven functions, open invocations, timers and steps that wait for a load, and the `counts` line of the real controller shows them with the host's timers.

--- a/crates/controller/src/invocations.rs
+++ b/crates/controller/src/invocations.rs
@@ -105,6 +105,11 @@
         awaiting.count()
     }
 
+    /// Number of timers that have not fired.
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Schedules `callback` to run at `at`.
     pub fn schedule(&mut self, at: Ticks, callback: StateCallback<T>) -> TimerKey {
         let key = self.next_timer_key(at);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -315,10 +315,18 @@
     pub invokers: usize,
     /// Number of known functions.
     pub functions: usize,
+    /// Number of those that no invoker has run yet. Clients may request functions that do not exist.
+    pub unproven_functions: usize,
     /// Number of tracked instances, over all functions.
     pub instances: usize,
     /// Number of ranking entries, over all functions.
     pub ranked: usize,
+    /// Number of invocations whose final response or last attempt is pending.
+    pub invocations: usize,
+    /// Number of steps that wait for a timer.
+    pub timers: usize,
+    /// Number of steps that wait for a load order.
+    pub load_continuations: usize,
     /// Number of invokers examined by rankings since the start.
     pub rank_steps: u64,
     /// Number of load orders that count against the budget of the window.
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -27,15 +27,17 @@
 
     /// Sizes of the tables, and operation counts.
     pub fn table_sizes(&self) -> TableSizes {
+        let functions = || self.functions.values();
+        let instances = functions().flat_map(|f| f.instances.values());
         TableSizes {
             invokers: self.invokers.len(),
             functions: self.functions.len(),
+            unproven_functions: functions().filter(|f| !f.has_succeeded).count(),
             instances: self.loads.instances.len(),
-            ranked: self
-                .functions
-                .values()
-                .map(|function| function.ranking.len())
-                .sum(),
+            ranked: functions().map(|f| f.ranking.len()).sum(),
+            invocations: self.invocations.len(),
+            timers: self.timers.len(),
+            load_continuations: instances.map(|i| i.load_continuations.len()).sum(),
             rank_steps: self.ready.rank_steps(),
             loads_counted: self.loads.budget.orders_counted(),
             invocations_counted: self.loads.budget.invocations_counted(),
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -15,6 +15,13 @@
     last_token: u64,
 }
 
+impl Timers {
+    /// Number of timers that have not fired.
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+}
+
 impl DispatchPolicy {
     /// Handles the expiry of a timer that was set through [`Actions::set_timer`].
     pub fn timer_fired(&mut self, now: Ticks, token: u64, actions: &mut dyn Actions) {
