Bound the memory of functions that no invoker is known to have run

Cause: record_call makes the state of a function at its first request, and only time (25 s and the longest client timeout) takes it out again: about 2 KB a name with instances and ranking. functions=93991 functions_unproven=93987 instances=238327 after 94,005 requests, beside load_waits=0 timers=8 in_flight=3 held_bytes=0, which excludes waits, timers, invocations and bodies.

Change: functions without a success or a load by order take at most a sixteenth of the start file's memory. At the bound the one that has been idle for the longest is forgotten; one with an open invocation or a load order never is. If all are in use, an invocation of a further unknown function is rejected with a retry-after. A warning and the counts tell when the bound is met. Why it works: the only table that follows the number of names is cut by count, and what is cut is what nobody has shown to exist.

Failed tries: a first form of the test left the invokers cold, so that nothing was dispatched; it checks now that something was. A guard of the_five_rules_hold_at_the_bound_on_functions asked each run to meet the bound, which five proven functions need not.

--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -50,24 +50,54 @@
     }
 }
 
+/// The answers of an invoker: a run, a load, and the lack of a function.
+const RUN_ANSWER: &[u8] =
+    b"HTTP/1.1 200 OK\r\nX-How: resident\r\nX-Units: 1\r\nContent-Length: 4\r\n\r\ndone";
+const MISS_ANSWER: &[u8] = b"HTTP/1.1 404 Miss\r\nContent-Length: 0\r\n\r\n";
+const LOAD_FAILURE_ANSWER: &[u8] =
+    b"HTTP/1.1 500 Error\r\nX-How: boot_error\r\nX-Units: 0\r\nContent-Length: 0\r\n\r\n";
+
 /// Starts an invoker that answers each request after this time, and returns its address.
 pub fn start_invoker(latency: Duration) -> String {
+    start_answering_invoker(move |_| {
+        std::thread::sleep(latency);
+        RUN_ANSWER
+    })
+}
+
+/// Starts an invoker that runs one function in this time and knows no other, and returns its address.
+pub fn start_invoker_of(function: u64, latency: Duration) -> String {
+    let function = format!("{function:016x}");
+    start_answering_invoker(move |head| {
+        if head.contains(&function) {
+            std::thread::sleep(latency);
+            RUN_ANSWER
+        } else if head.starts_with("PUT") {
+            LOAD_FAILURE_ANSWER
+        } else {
+            MISS_ANSWER
+        }
+    })
+}
+
+/// Starts an invoker that gives these answers to requests without a body, by their head, and returns its address.
+fn start_answering_invoker(
+    answer: impl Fn(&str) -> &'static [u8] + Clone + Send + 'static,
+) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     std::thread::spawn(move || {
         for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
+            let (mut stream, answer) = (stream.unwrap(), answer.clone());
             std::thread::spawn(move || {
                 let mut read = Vec::new();
                 let mut bytes = [0; 4_096];
                 while let Ok(n @ 1..) = stream.read(&mut bytes) {
                     read.extend_from_slice(&bytes[..n]);
                     if read.ends_with(b"\r\n\r\n") {
+                        let head = String::from_utf8_lossy(&read).into_owned();
                         read.clear();
-                        std::thread::sleep(latency);
-                        let _ = stream.write_all(
-                            b"HTTP/1.1 200 OK\r\nX-How: resident\r\nX-Units: 1\r\nContent-Length: 4\r\n\r\ndone",
-                        );
+                        let _ = stream.write_all(answer(&head));
                     }
                 }
             });
--- a/crates/controller/src/invocations/actions.rs
+++ b/crates/controller/src/invocations/actions.rs
@@ -8,7 +8,7 @@
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, MILLISECOND, Outcome,
     ProbeResult, Ticks,
 };
-use tracing::{debug, info, info_span};
+use tracing::{debug, info_span, warn};
 
 /// An attempt times out this long before its invocation expires, so that the policy can still send the final response.
 const RESPONSE_MARGIN: Ticks = 5 * MILLISECOND;
@@ -218,6 +218,6 @@
     }
 
     fn log(&mut self, text: &str) {
-        info!(text, "policy");
+        warn!(text, "policy");
     }
 }
--- a/crates/platform-wire/src/config.rs
+++ b/crates/platform-wire/src/config.rs
@@ -7,6 +7,9 @@
 use serde_json::Value;
 use std::net::SocketAddrV4;
 
+/// Bytes of the megabyte in which the platform states memory.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 /// Limits of the machine that a controller runs on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MachineLimits {
@@ -16,6 +19,13 @@
     pub descriptors: usize,
 }
 
+impl MachineLimits {
+    /// Memory for the controller, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        (self.memory_mb * BYTES_PER_MB) as u64
+    }
+}
+
 /// A validated configuration file.
 #[derive(Debug, Clone)]
 pub struct Config {
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -37,6 +37,8 @@
         invocations_counted = sizes.invocations_counted,
         functions = sizes.functions,
         functions_unproven = sizes.unproven_functions,
+        functions_evicted = sizes.evicted_functions,
+        untracked = sizes.untracked_invocations,
         instances = sizes.instances,
         ranked = sizes.ranked,
         policy_timers = sizes.timers,
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -182,6 +182,7 @@
 ) -> Rc<ControllerHandle> {
     let (now, mut deployment) = (clock.now(), config.deployment);
     deployment.list_lifetime = Some(LIST_LIFETIME);
+    deployment.memory_bytes = Some(config.limits.memory_bytes());
     let budget = ResourceLimits::of(&config.limits);
     info!(
         name = config.name,
--- a/crates/platform/src/limits.rs
+++ b/crates/platform/src/limits.rs
@@ -7,6 +7,9 @@
 /// spare ones.
 const RESERVED_DESCRIPTORS: usize = 24;
 
+/// The inputs of invocations may use the controller's memory divided by this.
+const INPUT_MEMORY_DIVISOR: u64 = 8;
+
 /// Resource bounds of a controller. At a bound it stops accepting, closes idle connections and rejects requests, so
 /// that its memory stays bounded and it never runs out of descriptors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +31,7 @@
             .max(8);
         // The platform's clients use at most a third of the limit; other connections are closed first.
         let clients = (limits.descriptors / 3 + available / 20).min(available / 2);
-        let bytes = (limits.memory_mb * 1_048_576.0 / 8.0) as usize;
+        let bytes = (limits.memory_bytes() / INPUT_MEMORY_DIVISOR) as usize;
         Self {
             clients,
             lines: available - clients,
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -33,6 +33,7 @@
     Deployment {
         controllers: (invokers * TARGET_FLEET.0 / TARGET_FLEET.1).max(1),
         zone: 0,
+        memory_bytes: None,
         trigger_types: vec![TriggerType {
             latency_objective: SECOND,
             client_timeout: 3 * SECOND,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -229,6 +229,7 @@
     let deployment = Deployment {
         controllers: settings.value::<u32>("balancers")?.max(1),
         zone: settings.value("zone")?,
+        memory_bytes: None,
         trigger_types,
         tenants: settings.tenants(tenant_count)?,
         over_quota_value_share: settings.number("over_share_worth")?,
--- a/crates/settings/tests/settings_fixtures.rs
+++ b/crates/settings/tests/settings_fixtures.rs
@@ -69,6 +69,7 @@
     let Deployment {
         controllers,
         zone,
+        memory_bytes,
         trigger_types,
         tenants,
         over_quota_value_share: over_share_value,
@@ -109,6 +110,7 @@
     assert_eq!(orders_free, 7.5);
     assert_eq!(orders_share, 0.12);
     assert_eq!(list_lifetime, None);
+    assert_eq!(memory_bytes, None);
     assert_eq!(drain_grace, 2_505);
     assert_eq!(cold_share, 0.19);
     assert_eq!(cold_time, 160_000);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,6 +76,8 @@
     pub controllers: u32,
     /// Zone of this controller.
     pub zone: u8,
+    /// Memory of this controller's process, in bytes; none: not stated.
+    pub memory_bytes: Option<u64>,
     /// Classes of invocations; [`Invocation::trigger`] is an index into them.
     pub trigger_types: Vec<TriggerType>,
     /// Tenants; [`Invocation::tenant`] is an index into them.
@@ -315,8 +317,12 @@
     pub invokers: usize,
     /// Number of known functions.
     pub functions: usize,
-    /// Number of those that no invoker has run yet. Clients may request functions that do not exist.
+    /// Number of those that no invoker is known to have run or loaded. Clients may request functions that do not exist.
     pub unproven_functions: usize,
+    /// Number of functions that were forgotten early because unproven functions reached the bound on their memory.
+    pub evicted_functions: u64,
+    /// Number of invocations of unknown functions that were rejected at that bound.
+    pub untracked_invocations: u64,
     /// Number of tracked instances, over all functions.
     pub instances: usize,
     /// Number of ranking entries, over all functions.
@@ -372,6 +378,6 @@
     fn probe(&mut self, invoker: InvokerId);
     /// Schedules one call of [`timer_fired`](crate::DispatchPolicy::timer_fired) with `token` at `at`.
     fn set_timer(&mut self, at: Ticks, token: u64);
-    /// Writes a line to the host's log.
+    /// Writes a warning to the host's log.
     fn log(&mut self, text: &str);
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,7 @@
 //!
 //! On the usual path, `pool_sizing` decides each second how many invokers the pool of a function has, `ranking` which
 //! invokers these are, `placement` selects the invoker with the earliest expected finish, and `loads` orders the loads
-//! that keep the pool loaded. `retries` and `admission` decide whether an invocation without a response is retried or
+//! that keep the pool loaded. `unproven_functions` bounds the state of functions that may not exist. `retries` and `admission` decide whether an invocation without a response is retried or
 //! rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
 //! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders. `outcomes` updates the estimates
 //! of `estimates` from the results of attempts. `docs/design.md` gives the reasons.
@@ -46,6 +46,7 @@
 mod retries;
 mod slow_start;
 mod timers;
+mod unproven_functions;
 
 use crate::interface::{
     Actions, Deployment, FunctionId, InvocationId, InvokerId, MILLISECOND, Ticks, TriggerType,
@@ -62,6 +63,7 @@
 use slow_start::CompletedWork;
 use std::collections::BTreeMap;
 use timers::Timers;
+use unproven_functions::UnprovenFunctions;
 
 /// Time constants, in seconds, for the smoothing of call rates. The middle one also smooths the rate of completed work.
 const RATE_TIME_CONSTANTS_S: [f64; 3] = [2.0, 8.0, 30.0];
@@ -103,6 +105,7 @@
     list_freshness: EndpointListFreshness,
     ready: ReadyInvokers,
     functions: BTreeMap<FunctionId, FunctionState>,
+    unproven: UnprovenFunctions,
     invocations: BTreeMap<InvocationId, InvocationState>,
     timers: Timers,
     fleet: FleetHealth,
@@ -127,6 +130,7 @@
                 .iter()
                 .map(TriggerStats::new)
                 .collect(),
+            unproven: UnprovenFunctions::new(&deployment),
             deployment,
             invokers: BTreeMap::new(),
             list_freshness: EndpointListFreshness::default(),
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -39,16 +39,18 @@
             return;
         };
         if self.retry_is_safe(state, None, self.now) {
-            let settings = &self.triggers[state.request.trigger].settings;
-            let wait = load_time.max(settings.latency_objective / RETRY_AFTER_DIVISOR);
-            let retry_after = self
-                .deployment
-                .max_retry_after
-                .map_or(0, |longest| wait.min(longest));
-            actions.throttle(id, retry_after);
+            actions.throttle(id, self.retry_after(state.request.trigger, load_time));
         } else {
             actions.error(id);
         }
         self.finish(id);
     }
+
+    /// When a rejected client may retry: after `load_time` at the earliest; 0: not specified.
+    pub(super) fn retry_after(&self, trigger: usize, load_time: Ticks) -> Ticks {
+        let settings = &self.triggers[trigger].settings;
+        let wait = load_time.max(settings.latency_objective / RETRY_AFTER_DIVISOR);
+        let longest = self.deployment.max_retry_after;
+        longest.map_or(0, |longest| wait.min(longest))
+    }
 }
--- a/src/policy/functions.rs
+++ b/src/policy/functions.rs
@@ -2,8 +2,9 @@
 
 use super::estimates::{QuantileMean, TimedValue, decay};
 use super::ranking::Ranking;
+use super::unproven_functions::FunctionUse;
 use super::{Continuation, DispatchPolicy, RATE_TIME_CONSTANTS_S, TriggerStats};
-use crate::interface::{Invocation, InvokerId, SECOND, Ticks};
+use crate::interface::{FunctionId, Invocation, InvokerId, SECOND, Ticks};
 use std::collections::BTreeMap;
 
 /// Load time assumed before one is reported or measured, in ticks.
@@ -15,6 +16,9 @@
 const MIN_REMAINING_LOAD_SHARE: f64 = 0.1;
 /// Time constant, in seconds, with which the reported concurrency of an instance decays.
 const CONCURRENCY_TIME_CONSTANT_S: f64 = 5.0;
+/// Maximum and minimum number of entries in a node of the standard library's B-trees.
+const TREE_NODE_CAPACITY: usize = 11;
+const TREE_NODE_MIN_ENTRIES: usize = 5;
 
 /// The instances of a function at one invoker, as known to this controller.
 #[derive(Default)]
@@ -82,9 +86,29 @@
     pub surplus_since: Option<Ticks>,
     pub ranking: Ranking,
     pub instances: BTreeMap<InvokerId, Instance>,
+    pub usage: FunctionUse,
 }
 
 impl FunctionState {
+    /// Estimated memory of a function with one instance and no ranking, in bytes.
+    pub(super) fn initial_bytes() -> usize {
+        Self::bytes_with(1, 0)
+    }
+
+    /// Estimated memory of the function, its instances and its ranking, in bytes.
+    pub(super) fn estimated_bytes(&self) -> usize {
+        Self::bytes_with(self.instances.len(), self.ranking.allocated_bytes())
+    }
+
+    fn bytes_with(instances: usize, ranking_bytes: usize) -> usize {
+        let node_bytes = TREE_NODE_CAPACITY * size_of::<(InvokerId, Instance)>();
+        let nodes = instances.div_ceil(TREE_NODE_MIN_ENTRIES);
+        // The table of functions, the index of instances and the queues hold up to twice the size of their entries.
+        let table_bytes = 2 * size_of::<(FunctionId, Self)>();
+        let index_bytes = 2 * instances * size_of::<(InvokerId, FunctionId)>();
+        table_bytes + index_bytes + nodes * node_bytes + ranking_bytes
+    }
+
     /// Expected load time, in ticks.
     pub(super) fn load_time(&self) -> f64 {
         let measured = if self.longest_load_time > 0.0 {
@@ -165,6 +189,8 @@
                 ..FunctionState::default()
             });
         function.count_call(request, now);
+        function.usage.open_invocations += 1;
+        self.unproven.update(request.function, function, now);
         // Calls of functions that may not exist must not increase the load budget (rule 5): clients may request any
         // name.
         if function.has_succeeded {
--- a/src/policy/invocations.rs
+++ b/src/policy/invocations.rs
@@ -2,7 +2,7 @@
 
 use super::admission::DEADLINE_MARGIN;
 use super::{Continuation, DispatchPolicy};
-use crate::interface::{Actions, Invocation, InvocationId, InvokerId, Ticks};
+use crate::interface::{Actions, FunctionId, Invocation, InvocationId, InvokerId, Ticks};
 
 /// An attempt in flight.
 pub(super) struct Attempt {
@@ -86,6 +86,9 @@
         actions: &mut dyn Actions,
     ) {
         self.advance_clock(now);
+        if !self.may_track_function(&request) {
+            return self.reject_untracked(&request, actions);
+        }
         self.record_call(&request);
         let id = request.id;
         self.invocations
@@ -106,7 +109,17 @@
         };
         state.is_finished = true;
         if state.in_flight.is_none() {
+            let function_id = state.request.function;
             self.invocations.remove(&id);
+            self.invocation_closed(function_id);
+        }
+    }
+
+    /// Records that an invocation of a function is no longer tracked.
+    fn invocation_closed(&mut self, function_id: FunctionId) {
+        if let Some(function) = self.functions.get_mut(&function_id) {
+            function.usage.open_invocations -= 1;
         }
+        self.update_unproven(function_id);
     }
 }
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -109,6 +109,7 @@
             self.unload_stale_instances(invoker_id, function_id, actions);
             self.loads.breaker.load_began(now);
         }
+        self.update_unproven(function_id);
         self.loads.budget.order_issued(now);
         match self.new_work_deadline(invoker_id) {
             Ticks::MAX => actions.load(invoker_id, function_id, 1),
@@ -171,6 +172,7 @@
         for continuation in continuations {
             continuation(self, actions);
         }
+        self.update_unproven(result.function);
     }
 
     /// Updates the invoker's health from the result of a load order.
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -27,12 +27,15 @@
 
     /// Sizes of the tables, and operation counts.
     pub fn table_sizes(&self) -> TableSizes {
+        let bound = self.unproven.counts();
         let functions = || self.functions.values();
         let instances = functions().flat_map(|f| f.instances.values());
         TableSizes {
             invokers: self.invokers.len(),
             functions: self.functions.len(),
-            unproven_functions: functions().filter(|f| !f.has_succeeded).count(),
+            unproven_functions: functions().filter(|f| !f.is_proven()).count(),
+            evicted_functions: bound.evicted,
+            untracked_invocations: bound.rejected,
             instances: self.loads.instances.len(),
             ranked: functions().map(|f| f.ranking.len()).sum(),
             invocations: self.invocations.len(),
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -32,6 +32,7 @@
             return;
         };
         if !std::mem::replace(&mut function.has_succeeded, true) {
+            self.unproven.update(request.function, function, self.now);
             self.loads
                 .budget
                 .invocation_arrived(request.earliest_arrival);
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -69,6 +69,7 @@
             Box::new(Self::size_pools),
         );
         self.forget_unused();
+        self.log_function_bound(actions);
         self.completed_work
             .decay_fleet_capacity(self.ready.total_capacity(), POOL_SIZING_INTERVAL);
         let mut free_memory_mb = self.pool_memory_mb();
@@ -98,16 +99,23 @@
                 instance.is_retained(now, keep_alive)
                     || !self.loads.instances.remove(&(*invoker_id, *function_id))
             });
+            self.unproven.update(*function_id, function, now);
         }
         let timeouts = self
             .triggers
             .iter()
             .map(|trigger| trigger.settings.client_timeout);
         let longest_timeout = timeouts.max().unwrap_or(0);
-        self.functions.retain(|_, function| {
+        self.functions.retain(|function_id, function| {
             let expires_at = function.last_called + IDLE_FUNCTION_TIMEOUT + longest_timeout;
-            now < expires_at || !function.instances.is_empty()
+            let is_in_use = !function.instances.is_empty() || function.usage.open_invocations > 0;
+            let is_retained = now < expires_at || is_in_use;
+            if !is_retained {
+                self.unproven.remove(*function_id, function);
+            }
+            is_retained
         });
+        self.evict_excess_functions(0);
         // The id of an invoker that is gone is not reused. Its record is retained while the outcome of an invocation
         // sent to it may be undecided.
         self.invokers.retain(|_, invoker| {
--- a/src/policy/ranking.rs
+++ b/src/policy/ranking.rs
@@ -49,6 +49,11 @@
         self.head.len()
     }
 
+    /// Memory allocated for the head, in bytes.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.head.capacity() * size_of::<Ranked>()
+    }
+
     /// The entries of the head, in rank order.
     pub(super) fn head(&self) -> impl Iterator<Item = Ranked> {
         self.head.iter().copied()
--- /dev/null
+++ b/tests/memory_bounds.rs
@@ -0,0 +1,225 @@
+//! The policy's memory stays bounded whatever clients request. Memory is counted by the allocator, per thread.
+
+use saltdrum::DispatchPolicy;
+use saltdrum::interface::*;
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+
+mod support;
+
+use support::{deployment, invoker_record};
+
+/// Memory of the controller: the least that the platform gives one.
+const MEMORY_BYTES: u64 = 32 << 20;
+/// The policy may use this share of it. The platform charges for memory above half of the limit.
+const POLICY_SHARE: f64 = 0.5;
+const INVOKERS: u32 = 12;
+const CLIENT_TIMEOUT: Ticks = 4 * SECOND;
+/// Long after the start of the invokers, so that they are warm.
+const START: Ticks = 100 * SECOND;
+
+thread_local! {
+    static LIVE_BYTES: Cell<usize> = const { Cell::new(0) };
+}
+
+/// Counts the bytes that the current thread has allocated and not freed.
+struct CountingAllocator;
+
+// SAFETY: every call is passed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        LIVE_BYTES.set(LIVE_BYTES.get().wrapping_add(layout.size()));
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        LIVE_BYTES.set(LIVE_BYTES.get().wrapping_sub(layout.size()));
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// A host that keeps nothing but what it has to report to the policy next.
+#[derive(Default)]
+struct Host {
+    dispatched: Option<(InvocationId, InvokerId)>,
+    attempts: u8,
+    loads: Vec<(InvokerId, FunctionId)>,
+    timers: std::collections::VecDeque<(Ticks, u64)>,
+}
+
+impl Actions for Host {
+    fn dispatch(&mut self, id: InvocationId, invoker: InvokerId, _: Ticks) {
+        self.dispatched = Some((id, invoker));
+        self.attempts += 1;
+    }
+    fn throttle(&mut self, _: InvocationId, _: Ticks) {}
+    fn error(&mut self, _: InvocationId) {}
+    fn cancel(&mut self, _: InvocationId, _: u8) {}
+    fn load(&mut self, invoker: InvokerId, function: FunctionId, _: u8) {
+        self.loads.push((invoker, function));
+    }
+    fn unload(&mut self, _: InvokerId, _: FunctionId) {}
+    fn probe(&mut self, _: InvokerId) {}
+    fn set_timer(&mut self, at: Ticks, token: u64) {
+        let index = self.timers.partition_point(|(other, _)| *other <= at);
+        self.timers.insert(index, (at, token));
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+/// A policy with its host, and the memory that was in use before it.
+struct Controller {
+    policy: DispatchPolicy,
+    host: Host,
+    now: Ticks,
+    last_id: InvocationId,
+    bytes_before: usize,
+}
+
+impl Controller {
+    fn new(deployment: Deployment) -> Self {
+        let bytes_before = LIVE_BYTES.get();
+        let (now, mut host) = (START, Host::default());
+        let mut policy = DispatchPolicy::new(now, deployment, 7, &mut host);
+        let records: Vec<InvokerRecord> = (1..=INVOKERS)
+            .map(|invoker| invoker_record(invoker, InvokerStatus::Ready, Some(1)))
+            .collect();
+        policy.invokers_changed(now, true, &records);
+        Self {
+            policy,
+            host,
+            now,
+            last_id: 0,
+            bytes_before,
+        }
+    }
+
+    fn bytes_in_use(&self) -> usize {
+        LIVE_BYTES.get() - self.bytes_before
+    }
+
+    fn invoke(&mut self, function: FunctionId) -> InvocationId {
+        self.last_id += 1;
+        let request = Invocation {
+            id: self.last_id,
+            trigger: 0,
+            tenant: 0,
+            function,
+            earliest_arrival: self.now,
+            expires_at: self.now + CLIENT_TIMEOUT,
+            work_hint: None,
+            memory_mb: 100.0,
+            concurrency_limit: 2.0,
+            load_time_hint: Some(SECOND),
+        };
+        self.host.attempts = 0;
+        self.policy
+            .invocation_arrived(self.now, request, &mut self.host);
+        self.last_id
+    }
+
+    /// Ends the attempt in flight, if there is one. Returns whether there was.
+    fn end_attempt(&mut self, outcome: Outcome, is_abandoned: bool) -> bool {
+        let Some((invocation, invoker)) = self.host.dispatched.take() else {
+            return false;
+        };
+        let result = AttemptResult {
+            invocation,
+            invoker,
+            attempt: self.host.attempts - 1,
+            invocation_finished: is_abandoned || outcome == Outcome::Succeeded,
+            outcome,
+            start_kind: None,
+            concurrency: None,
+            duration: 0,
+            report: LoadReport::default(),
+        };
+        self.policy.attempt_ended(self.now, result, &mut self.host);
+        true
+    }
+
+    /// A request that its client takes back before it is sent to an invoker.
+    fn invoke_and_abandon(&mut self, function: FunctionId) {
+        let id = self.invoke(function);
+        self.policy.invocation_abandoned(self.now, id);
+        self.end_attempt(Outcome::NotSent, true);
+    }
+
+    /// Advances the clock: timers fire, and load orders for functions that no invoker knows fail.
+    fn advance(&mut self, duration: Ticks) {
+        self.now += duration;
+        while let Some((_, token)) = self.host.timers.pop_front_if(|(at, _)| *at <= self.now) {
+            self.policy.timer_fired(self.now, token, &mut self.host);
+        }
+        for (invoker, function) in std::mem::take(&mut self.host.loads) {
+            let result = LoadResult {
+                invoker,
+                function,
+                outcome: LoadOutcome::LoadFailed,
+                loaded_instances: 0,
+                duration: 0,
+                sent_at: None,
+            };
+            self.policy.load_ended(self.now, result, &mut self.host);
+        }
+    }
+
+    fn assert_memory_is_bounded(&self, case: &str) {
+        let (bytes, sizes) = (self.bytes_in_use(), self.policy.table_sizes());
+        assert!(
+            bytes as f64 <= POLICY_SHARE * MEMORY_BYTES as f64,
+            "{case}: {bytes} bytes in use, {sizes:?}"
+        );
+    }
+}
+
+fn small_controller(reports_misses: bool) -> Controller {
+    Controller::new(Deployment {
+        memory_bytes: Some(MEMORY_BYTES),
+        reports_misses,
+        ..deployment()
+    })
+}
+
+/// Guards against state that is retained for each function that was ever requested: clients that asked for unknown
+/// functions and took their requests back made the controller exceed its memory limit within seconds.
+#[test]
+fn unknown_functions_do_not_exceed_the_memory_limit() {
+    const REQUESTS: u64 = 60_000;
+    for reports_misses in [false, true] {
+        let mut controller = small_controller(reports_misses);
+        for number in 0..REQUESTS {
+            controller.invoke_and_abandon(number << 20);
+            if number % 100 == 0 {
+                controller.advance(MILLISECOND);
+                controller.assert_memory_is_bounded("requests taken back");
+            }
+        }
+        let sizes = controller.policy.table_sizes();
+        assert!(sizes.evicted_functions > 0, "bound not met: {sizes:?}");
+        assert!(sizes.instances > 0, "nothing dispatched: {sizes:?}");
+    }
+}
+
+/// Guards against instances and rankings that grow with each attempt: a request for an unknown function that every
+/// invoker turns away is tried at several of them.
+#[test]
+fn failing_attempts_at_many_invokers_do_not_exceed_the_memory_limit() {
+    const REQUESTS: u64 = 80_000;
+    for outcome in [Outcome::Errored, Outcome::Miss, Outcome::NotSent] {
+        let mut controller = small_controller(outcome == Outcome::Miss);
+        for number in 0..REQUESTS {
+            // Each function is requested repeatedly, so that further invokers are tried.
+            let id = controller.invoke((number / 4) << 20);
+            while controller.end_attempt(outcome, false) {}
+            controller.policy.invocation_abandoned(controller.now, id);
+            if number % 100 == 0 {
+                controller.advance(MILLISECOND);
+                controller.assert_memory_is_bounded("failing attempts");
+            }
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -224,6 +224,35 @@
     }
 }
 
+/// With room for only a few functions that have not succeeded, functions are forgotten and invocations rejected again
+/// and again: no rule depends on a function that is forgotten.
+#[test]
+fn the_five_rules_hold_at_the_bound_on_functions() {
+    const RUNS: u64 = 150;
+    let (mut runs_with_evictions, mut runs_with_rejections) = (0, 0);
+    for seed in 0..RUNS {
+        println!("seed {seed}");
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let deployment = Deployment {
+            memory_bytes: Some(80 << 10),
+            ..shape((seed * 7 % 64) as u8)
+        };
+        let mut bed = TestBed::with_seed(deployment, 6, seed);
+        bed.checker.has_even_shares = false;
+        for _ in 0..300 {
+            step(&mut bed, rng.u8(0..32), rng.u32(..));
+        }
+        bed.advance(6 * SECOND);
+        let sizes = bed.policy.table_sizes();
+        runs_with_evictions += u64::from(sizes.evicted_functions > 0);
+        runs_with_rejections += u64::from(sizes.untracked_invocations > 0);
+    }
+    assert!(
+        runs_with_evictions > RUNS / 2 && runs_with_rejections > RUNS / 2,
+        "{runs_with_evictions} runs with evictions, {runs_with_rejections} with rejections"
+    );
+}
+
 /// The digest of all actions of a controller in a random run, in order.
 fn digest_of(bits: u8, invokers: u32, seed: u64) -> u64 {
     let mut rng = fastrand::Rng::with_seed(seed);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -42,6 +42,7 @@
     /// The `send_by` times of dispatches and load orders that have one.
     pub send_by: Vec<Ticks>,
     pub retry_after: Vec<Ticks>,
+    pub log: Vec<String>,
     /// Whether the current event is a timer.
     is_timer_event: bool,
     /// The remaining time until the client timeout, for final responses that were sent in timer events.
@@ -280,7 +281,9 @@
     fn set_timer(&mut self, at: Ticks, token: u64) {
         self.timers.push((at, token));
     }
-    fn log(&mut self, _: &str) {}
+    fn log(&mut self, text: &str) {
+        self.log.push(text.to_owned());
+    }
 }
 
 /// A policy under test, and the host that delivers one event at a time to it.
@@ -308,6 +311,7 @@
     Deployment {
         controllers: 2,
         zone: 0,
+        memory_bytes: None,
         trigger_types: vec![trigger_type(Effect::Idempotent, KeyScope::All)],
         tenants: vec![],
         over_quota_value_share: 0.2,
@@ -379,6 +383,7 @@
             probes: vec![],
             send_by: vec![],
             retry_after: vec![],
+            log: vec![],
             is_timer_event: false,
             timer_response_lead_times: vec![],
             last_stall_ended_at: 0,
