End with an invocation what it waits for: its step and its timers

What callers saw: while a function is being loaded, clients that take back hundreds of requests for it each bring the controller over its memory limit: 32 MB passed after 158 clients with 900 requests, in 1.2 s.

Cause: await_load and await_confirmation leave a step at the load or the probe, and a timer in the module and in the host. They do nothing once the invocation has ended, but were removed only when they ran, at the end of the load or at the client timeout.

Evidence: after 54,001 requests, 54,000 taken back, policy_timers=54003 load_waits=54001 timers=54004 in_flight=1 functions=1.

Change: an invocation knows its wait; the next decision on it, or its end, removes the step and cancels the timer (Actions::cancel_timer; a host may leave it out). invocation_abandoned takes the actions for that. A load order that a probe holds back no longer leaves an empty step. Why it works: one wait for each open invocation, and those are bounded by connections and streams.

Tests, before and after. With end_wait made to remove nothing: requests_taken_back_during_a_load_leave_nothing_behind 3 waits for 2, requests_taken_back_during_a_probe_leave_nothing_behind 2 for 1, both FAILED. The process test requests_taken_back_during_a_load_stay_within_the_memory_limit against the program before: "32 of 32 MB after 158 bad clients", FAILED. All pass now; the process stays at 1 MB there.

Failed try: the process test with 60 clients passed before the change too (12 MB); it has 200 now.

--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -80,6 +80,17 @@
     })
 }
 
+/// Starts an invoker that knows no function and whose loads never end, and returns its address.
+pub fn start_invoker_that_loads_forever() -> String {
+    start_answering_invoker(|head| {
+        if head.starts_with("PUT") {
+            b""
+        } else {
+            MISS_ANSWER
+        }
+    })
+}
+
 /// Starts an invoker that gives these answers to requests without a body, by their head, and returns its address.
 fn start_answering_invoker(
     answer: impl Fn(&str) -> &'static [u8] + Clone + Send + 'static,
--- a/crates/controller/src/baselines.rs
+++ b/crates/controller/src/baselines.rs
@@ -108,7 +108,7 @@
         actions.dispatch(request.id, target, 0);
     }
 
-    fn invocation_abandoned(&mut self, _: Ticks, _: InvocationId) {}
+    fn invocation_abandoned(&mut self, _: Ticks, _: InvocationId, _: &mut dyn Actions) {}
 
     fn attempt_ended(&mut self, _: Ticks, result: AttemptResult, actions: &mut dyn Actions) {
         let target = self.targets.remove(&result.invocation);
--- a/crates/controller/src/invocations.rs
+++ b/crates/controller/src/invocations.rs
@@ -40,6 +40,8 @@
     load_orders: BTreeMap<(InvokerId, u64), LoadOrder>,
     timers: BTreeMap<TimerKey, StateCallback<T>>,
     last_timer: u64,
+    /// The timers that the policy has set, by its tokens.
+    policy_timers: BTreeMap<u64, TimerKey>,
     /// Callbacks to run after the policy has returned.
     deferred: VecDeque<StateCallback<T>>,
     last_id: InvocationId,
@@ -86,6 +88,7 @@
             load_orders: BTreeMap::new(),
             timers: BTreeMap::new(),
             last_timer: 0,
+            policy_timers: BTreeMap::new(),
             deferred: VecDeque::new(),
             last_id: 0,
         }
@@ -259,7 +262,8 @@
                 table.defer_attempt_end(id, attempt, Outcome::Cancelled);
             }
         }
-        self.policy.invocation_abandoned(self.invocations.now, id);
+        self.policy
+            .invocation_abandoned(self.invocations.now, id, &mut self.invocations);
         self.invocations.remove_if_finished(id);
     }
 
--- a/crates/controller/src/invocations/actions.rs
+++ b/crates/controller/src/invocations/actions.rs
@@ -210,11 +210,19 @@
 
     fn set_timer(&mut self, at: Ticks, token: u64) {
         let fire = move |state: &mut ControllerState<T>| {
+            state.invocations.policy_timers.remove(&token);
             state
                 .policy
                 .timer_fired(state.invocations.now, token, &mut state.invocations);
         };
-        self.schedule(at, Box::new(fire));
+        let timer = self.schedule(at, Box::new(fire));
+        self.policy_timers.insert(token, timer);
+    }
+
+    fn cancel_timer(&mut self, token: u64) {
+        if let Some(timer) = self.policy_timers.remove(&token) {
+            self.timers.remove(&timer);
+        }
     }
 
     fn log(&mut self, text: &str) {
--- a/crates/controller/src/policy.rs
+++ b/crates/controller/src/policy.rs
@@ -10,7 +10,7 @@
     /// An invocation was accepted.
     fn invocation_arrived(&mut self, now: Ticks, request: Invocation, actions: &mut dyn Actions);
     /// The client has stopped waiting for the invocation.
-    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId);
+    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId, actions: &mut dyn Actions);
     /// An attempt has ended.
     fn attempt_ended(&mut self, now: Ticks, result: AttemptResult, actions: &mut dyn Actions);
     /// A load order has ended.
@@ -57,8 +57,8 @@
     fn invocation_arrived(&mut self, now: Ticks, request: Invocation, actions: &mut dyn Actions) {
         Self::invocation_arrived(self, now, request, actions);
     }
-    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId) {
-        Self::invocation_abandoned(self, now, id);
+    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId, actions: &mut dyn Actions) {
+        Self::invocation_abandoned(self, now, id, actions);
     }
     fn attempt_ended(&mut self, now: Ticks, result: AttemptResult, actions: &mut dyn Actions) {
         Self::attempt_ended(self, now, result, actions);
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -42,7 +42,7 @@
         instances = sizes.instances,
         ranked = sizes.ranked,
         policy_timers = sizes.timers,
-        load_waits = sizes.load_continuations,
+        load_waits = sizes.load_waits,
         timers = state.invocations.timers(),
         in_flight = state.invocations.in_flight(),
         lines = transport.open_connections.get(),
--- a/crates/scale/src/controller.rs
+++ b/crates/scale/src/controller.rs
@@ -149,8 +149,8 @@
             |p| p.invocation_arrived(now, invocation, acts),
         );
     }
-    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId) {
-        self.inner.borrow_mut().invocation_abandoned(now, id);
+    fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId, acts: &mut dyn Actions) {
+        self.inner.borrow_mut().invocation_abandoned(now, id, acts);
     }
     fn attempt_ended(&mut self, now: Ticks, result: AttemptResult, acts: &mut dyn Actions) {
         self.run_turn(
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -130,7 +130,9 @@
             }
             code::CLIENT_DISCONNECTED => {
                 let invocation = fields.u32("xid")?;
-                self.guard(id, |_| policy.invocation_abandoned(now, invocation))
+                self.guard(id, |actions| {
+                    policy.invocation_abandoned(now, invocation, actions)
+                })
             }
             code::INVOKERS => {
                 let form = fields.u8("form")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -332,7 +332,9 @@
     /// Number of steps that wait for a timer.
     pub timers: usize,
     /// Number of steps that wait for a load order.
-    pub load_continuations: usize,
+    pub load_waits: usize,
+    /// Number of steps that wait for a probe.
+    pub probe_waits: usize,
     /// Number of invokers examined by rankings since the start.
     pub rank_steps: u64,
     /// Number of load orders that count against the budget of the window.
@@ -378,6 +380,9 @@
     fn probe(&mut self, invoker: InvokerId);
     /// Schedules one call of [`timer_fired`](crate::DispatchPolicy::timer_fired) with `token` at `at`.
     fn set_timer(&mut self, at: Ticks, token: u64);
+    /// Withdraws a timer that is no longer needed. A host may still fire it, which has no effect; one whose clients may
+    /// abandon any number of invocations overrides this, so that it does not retain their timers.
+    fn cancel_timer(&mut self, _token: u64) {}
     /// Writes a warning to the host's log.
     fn log(&mut self, text: &str);
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,7 @@
 //!
 //! On the usual path, `pool_sizing` decides each second how many invokers the pool of a function has, `ranking` which
 //! invokers these are, `placement` selects the invoker with the earliest expected finish, and `loads` orders the loads
-//! that keep the pool loaded. `unproven_functions` bounds the state of functions that may not exist. `retries` and `admission` decide whether an invocation without a response is retried or
+//! that keep the pool loaded. `unproven_functions` bounds the state of functions that may not exist, and `waits` ends with each invocation what it waits for. `retries` and `admission` decide whether an invocation without a response is retried or
 //! rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
 //! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders. `outcomes` updates the estimates
 //! of `estimates` from the results of attempts. `docs/design.md` gives the reasons.
@@ -47,6 +47,7 @@
 mod slow_start;
 mod timers;
 mod unproven_functions;
+mod waits;
 
 use crate::interface::{
     Actions, Deployment, FunctionId, InvocationId, InvokerId, MILLISECOND, Ticks, TriggerType,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -43,7 +43,7 @@
         } else {
             actions.error(id);
         }
-        self.finish(id);
+        self.finish(id, actions);
     }
 
     /// When a rejected client may retry: after `load_time` at the earliest; 0: not specified.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -13,6 +13,7 @@
 impl DispatchPolicy {
     /// Decides the next step of an invocation without an attempt in flight, and takes it.
     pub(super) fn route(&mut self, id: InvocationId, actions: &mut dyn Actions) {
+        self.end_wait(id, actions);
         let Some(state) = self
             .invocations
             .get_mut(&id)
@@ -69,11 +70,7 @@
         } else {
             // The load budget is exhausted. It is replenished with time, unlike the number of attempts.
             let retry_at = (self.now + HEALTH_CHECK_INTERVAL).min(wait_deadline);
-            self.schedule(
-                retry_at,
-                actions,
-                Box::new(move |policy, actions| policy.route(id, actions)),
-            );
+            self.wait_until(id, retry_at, Self::route, actions);
         }
     }
 
@@ -152,7 +149,7 @@
     /// otherwise.
     fn continue_invocation(&mut self, id: InvocationId, actions: &mut dyn Actions) {
         match self.invocations.get(&id) {
-            Some(state) if state.is_finished => self.finish(id),
+            Some(state) if state.is_finished => self.finish(id, actions),
             Some(_) => self.route(id, actions),
             None => {}
         }
--- a/src/policy/functions.rs
+++ b/src/policy/functions.rs
@@ -3,7 +3,8 @@
 use super::estimates::{QuantileMean, TimedValue, decay};
 use super::ranking::Ranking;
 use super::unproven_functions::FunctionUse;
-use super::{Continuation, DispatchPolicy, RATE_TIME_CONSTANTS_S, TriggerStats};
+use super::waits::Waiters;
+use super::{DispatchPolicy, RATE_TIME_CONSTANTS_S, TriggerStats};
 use crate::interface::{FunctionId, Invocation, InvokerId, SECOND, Ticks};
 use std::collections::BTreeMap;
 
@@ -32,7 +33,7 @@
     /// Whether a load order is in flight.
     pub has_load_order: bool,
     /// Steps to run when that load order ends.
-    pub load_continuations: Vec<Continuation>,
+    pub load_waiters: Waiters,
     /// Whether this controller ordered the load.
     pub is_own_load: bool,
     /// The latest of the times at which the invoker left the function's pool and the function was last called; none
--- a/src/policy/invocations.rs
+++ b/src/policy/invocations.rs
@@ -1,6 +1,7 @@
 //! The state of an invocation from its arrival until its last attempt has ended.
 
 use super::admission::DEADLINE_MARGIN;
+use super::waits::Wait;
 use super::{Continuation, DispatchPolicy};
 use crate::interface::{Actions, FunctionId, Invocation, InvocationId, InvokerId, Ticks};
 
@@ -37,6 +38,8 @@
     pub in_flight: Option<Attempt>,
     /// Number of attempts made.
     pub attempts: u8,
+    /// What the invocation waits for, without an attempt in flight.
+    pub wait: Option<Wait>,
     /// Number of decisions made on the invocation. A wait that began with an earlier decision is void.
     pub decision_count: u32,
     /// The first ended attempt that may have run.
@@ -54,6 +57,7 @@
             arrived_at: now,
             in_flight: None,
             attempts: 0,
+            wait: None,
             decision_count: 0,
             first_possible_run: None,
             tried_invokers: Vec::new(),
@@ -97,13 +101,19 @@
     }
 
     /// Records that the client no longer waits for an invocation: it receives no final response.
-    pub fn invocation_abandoned(&mut self, now: Ticks, id: InvocationId) {
+    pub fn invocation_abandoned(
+        &mut self,
+        now: Ticks,
+        id: InvocationId,
+        actions: &mut dyn Actions,
+    ) {
         self.advance_clock(now);
-        self.finish(id);
+        self.finish(id, actions);
     }
 
     /// Marks an invocation as finished, and removes it if no attempt is in flight.
-    pub(super) fn finish(&mut self, id: InvocationId) {
+    pub(super) fn finish(&mut self, id: InvocationId, actions: &mut dyn Actions) {
+        self.end_wait(id, actions);
         let Some(state) = self.invocations.get_mut(&id) else {
             return;
         };
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -6,6 +6,7 @@
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::load_breaker::LoadBreaker;
 use super::load_budget::LoadBudget;
+use super::waits::WaitEvent;
 use crate::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, SECOND, Ticks,
 };
@@ -93,7 +94,7 @@
             return false;
         }
         if !self.may_send_new_work(invoker_id) {
-            self.run_after_probe(invoker_id, Box::new(|_, _| {}), actions);
+            self.request_probe(invoker_id, actions);
             return false;
         }
         let Some(function) = self.functions.get_mut(&function_id) else {
@@ -162,7 +163,7 @@
         };
         let was_loading = function.record_load(now, &result);
         let instance = function.instances.entry(result.invoker).or_default();
-        let continuations = std::mem::take(&mut instance.load_continuations);
+        let continuations = instance.load_waiters.take();
         self.record_load_health(&result);
         if result.outcome == LoadOutcome::LoadFailed {
             self.loads.breaker.load_failed(now, result.invoker);
@@ -199,18 +200,11 @@
         deadline: Ticks,
         actions: &mut dyn Actions,
     ) {
-        let Some(state) = self.invocations.get(&id) else {
-            return;
-        };
-        let on_loaded = Self::unless_superseded(state, Self::route);
-        let on_timeout =
-            Self::unless_superseded(state, |policy, id, actions| policy.reject(id, 0, actions));
-        let Some(function) = self.functions.get_mut(&state.request.function) else {
-            return;
+        let on_timeout = |policy: &mut Self, id: InvocationId, actions: &mut dyn Actions| {
+            policy.reject(id, 0, actions);
         };
-        let instance = function.instances.entry(invoker_id).or_default();
-        instance.load_continuations.push(on_loaded);
-        self.schedule(deadline, actions, on_timeout);
+        self.wait_until(id, deadline, on_timeout, actions);
+        self.decide_again_at(id, WaitEvent::LoadEnded(invoker_id));
     }
 }
 
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -29,6 +29,7 @@
     pub fn table_sizes(&self) -> TableSizes {
         let bound = self.unproven.counts();
         let functions = || self.functions.values();
+        let invokers = self.invokers.values();
         let instances = functions().flat_map(|f| f.instances.values());
         TableSizes {
             invokers: self.invokers.len(),
@@ -40,7 +41,8 @@
             ranked: functions().map(|f| f.ranking.len()).sum(),
             invocations: self.invocations.len(),
             timers: self.timers.len(),
-            load_continuations: instances.map(|i| i.load_continuations.len()).sum(),
+            load_waits: instances.map(|i| i.load_waiters.len()).sum(),
+            probe_waits: invokers.map(|i| i.confirmation.probe_waiters.len()).sum(),
             rank_steps: self.ready.rank_steps(),
             loads_counted: self.loads.budget.orders_counted(),
             invocations_counted: self.loads.budget.invocations_counted(),
--- a/src/policy/readiness.rs
+++ b/src/policy/readiness.rs
@@ -6,8 +6,8 @@
 //! to drain right afterwards. An attempt that the invoker served confirms its readiness as well.
 
 use super::health::HEALTH_CHECK_INTERVAL;
-use super::invocations::InvocationState;
 use super::invokers::InvokerState;
+use super::waits::{WaitEvent, Waiters};
 use super::{Continuation, DispatchPolicy};
 use crate::interface::{
     Actions, InvocationId, InvokerId, ProbeOutcome, ProbeResult, ReadinessCounts, Ticks,
@@ -37,7 +37,7 @@
     /// next refresh of the list, which reports starts.
     possible_start: Option<Ticks>,
     /// Steps to run when the probe ends.
-    probe_continuations: Vec<Continuation>,
+    pub probe_waiters: Waiters,
 }
 
 impl DispatchPolicy {
@@ -128,9 +128,17 @@
         let Some(invoker) = invoker.filter(|_| self.deployment.may_probe) else {
             return;
         };
-        let confirmation = &mut invoker.confirmation;
-        confirmation.probe_continuations.push(continuation);
-        if !std::mem::replace(&mut confirmation.is_probe_in_flight, true) {
+        invoker.confirmation.probe_waiters.push(continuation);
+        self.request_probe(invoker_id, actions);
+    }
+
+    /// Probes an invoker, unless a probe is in flight or invokers may not be probed.
+    pub(super) fn request_probe(&mut self, invoker_id: InvokerId, actions: &mut dyn Actions) {
+        let invoker = self.invokers.get_mut(&invoker_id);
+        let Some(invoker) = invoker.filter(|_| self.deployment.may_probe) else {
+            return;
+        };
+        if !std::mem::replace(&mut invoker.confirmation.is_probe_in_flight, true) {
             self.list_freshness.counts.probes += 1;
             actions.probe(invoker_id);
         }
@@ -150,13 +158,13 @@
         self.list_freshness.counts.waits += 1;
         let waiting_since = self.now;
         let deadline = (waiting_since + CONFIRMATION_TIMEOUT).min(state.response_deadline());
-        let on_timeout = Self::unless_superseded(state, move |policy, id, actions| {
+        let on_timeout = move |policy: &mut Self, id: InvocationId, actions: &mut dyn Actions| {
             policy.confirmation_timed_out(invoker_id, waiting_since);
             policy.route(id, actions);
-        });
-        let on_probed = Self::unless_superseded(state, Self::route);
-        self.schedule(deadline, actions, on_timeout);
-        self.run_after_probe(invoker_id, on_probed, actions);
+        };
+        self.wait_until(id, deadline, on_timeout, actions);
+        self.decide_again_at(id, WaitEvent::ProbeEnded(invoker_id));
+        self.request_probe(invoker_id, actions);
     }
 
     /// Ejects an invoker that did not confirm its readiness in time, unless this process was stalled meanwhile.
@@ -177,7 +185,7 @@
             return;
         };
         invoker.confirmation.is_probe_in_flight = false;
-        let continuations = std::mem::take(&mut invoker.confirmation.probe_continuations);
+        let continuations = invoker.confirmation.probe_waiters.take();
         if result.outcome != ProbeOutcome::Ready {
             self.fleet.suspects.insert(result.invoker);
         }
@@ -204,7 +212,8 @@
         if is_not_sent || is_too_old {
             // The cause is local to this process: an immediate second probe would have the same result.
             let retry_at = now + HEALTH_CHECK_INTERVAL;
-            return self.schedule(retry_at, actions, Self::run_all(continuations));
+            self.schedule(retry_at, actions, Self::run_all(continuations));
+            return;
         }
         Self::run_all(continuations)(self, actions);
     }
@@ -217,18 +226,4 @@
             }
         })
     }
-
-    /// A step for an invocation that does nothing if another decision on the invocation was made in the meantime.
-    pub(super) fn unless_superseded(
-        state: &InvocationState,
-        step: impl FnOnce(&mut Self, InvocationId, &mut dyn Actions) + 'static,
-    ) -> Continuation {
-        let (id, decision) = (state.request.id, state.decision_count);
-        Box::new(move |policy, actions| {
-            let state = policy.invocations.get(&id);
-            if state.is_some_and(|state| state.decision_count == decision) {
-                step(policy, id, actions);
-            }
-        })
-    }
 }
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -31,18 +31,25 @@
         }
     }
 
-    /// Schedules `continuation` to run at `at`.
+    /// Schedules `continuation` to run at `at`. Returns the token of the timer.
     pub(super) fn schedule(
         &mut self,
         at: Ticks,
         actions: &mut dyn Actions,
         continuation: Continuation,
-    ) {
+    ) -> u64 {
         self.timers.last_token += 1;
-        self.timers
-            .pending
-            .insert(self.timers.last_token, continuation);
-        actions.set_timer(at, self.timers.last_token);
+        let token = self.timers.last_token;
+        self.timers.pending.insert(token, continuation);
+        actions.set_timer(at, token);
+        token
+    }
+
+    /// Cancels a timer, if it has not fired.
+    pub(super) fn cancel_timer(&mut self, token: u64, actions: &mut dyn Actions) {
+        if self.timers.pending.remove(&token).is_some() {
+            actions.cancel_timer(token);
+        }
     }
 
     /// Advances the clock at the start of each event. After a stall of the process, the duration of the stall does not
