Sum what was sent to an invoker by parts of the overload window

Cause: slow start keeps an entry of 16 bytes for each attempt within the window (3 s there), also for one that is taken back before it is sent. Taken back requests cause over 100,000 attempts a second.

Change: the work is summed by 64 parts of the window, so there are at most 65 sums for each invoker. A sum counts as sent when the last of it was: the total is never too low (rule 4), and too high for a 64th of the window at the most. Why it works: the size depends on the window alone.

Tests, before and after. size_of_the_sent_work_does_not_depend_on_the_number_of_attempts with an entry for each attempt: "20001 sums with 20 attempts a millisecond, 100001 with 100", FAILED; passes now.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -337,6 +337,8 @@
     pub probe_waits: usize,
     /// Number of invokers examined by rankings since the start.
     pub rank_steps: u64,
+    /// Number of sums of work that was sent to invokers recently.
+    pub sent_work: usize,
     /// Number of load orders that count against the budget of the window.
     pub loads_counted: usize,
     /// Number of invocations that increase that budget.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -7,7 +7,6 @@
 use super::invokers::InvokerState;
 use super::loads::FULL_BUDGET_SHARE;
 use super::placement::{CORES_PER_INVOKER, Placement};
-use super::slow_start::SentWork;
 use crate::interface::{Actions, AttemptResult, Effect, InvocationId, InvokerId, Outcome, Ticks};
 
 impl DispatchPolicy {
@@ -192,11 +191,6 @@
             self.last_response_at = now;
         }
         self.in_flight += 1;
-        self.sent_work.push_back(SentWork { at: now, work });
-        while self
-            .sent_work
-            .pop_front_if(|sent| sent.at + overload_window <= now)
-            .is_some()
-        {}
+        self.sent_work.record(now, work, overload_window);
     }
 }
--- a/src/policy/invokers.rs
+++ b/src/policy/invokers.rs
@@ -5,7 +5,7 @@
 use super::slow_start::SentWork;
 use super::{DispatchPolicy, FunctionState};
 use crate::interface::{FunctionId, InvokerId, InvokerRecord, InvokerStatus, Ticks};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Lower bound of an invoker's capacity in computations.
 const MIN_CAPACITY: f64 = 0.01;
@@ -38,7 +38,7 @@
     pub rejections: BTreeMap<(usize, usize), Rejections>,
     pub confirmation: Confirmation,
     /// Work sent to the invoker within the overload window.
-    pub sent_work: VecDeque<SentWork>,
+    pub sent_work: SentWork,
 }
 
 impl InvokerState {
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -29,7 +29,7 @@
     pub fn table_sizes(&self) -> TableSizes {
         let bound = self.unproven.counts();
         let functions = || self.functions.values();
-        let invokers = self.invokers.values();
+        let invokers = || self.invokers.values();
         let instances = functions().flat_map(|f| f.instances.values());
         TableSizes {
             invokers: self.invokers.len(),
@@ -42,7 +42,8 @@
             invocations: self.invocations.len(),
             timers: self.timers.len(),
             load_waits: instances.map(|i| i.load_waiters.len()).sum(),
-            probe_waits: invokers.map(|i| i.confirmation.probe_waiters.len()).sum(),
+            probe_waits: invokers().map(|i| i.confirmation.probe_waiters.len()).sum(),
+            sent_work: invokers().map(|i| i.sent_work.len()).sum(),
             rank_steps: self.ready.rank_steps(),
             loads_counted: self.loads.budget.orders_counted(),
             invocations_counted: self.loads.budget.invocations_counted(),
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -119,9 +119,8 @@
         // The id of an invoker that is gone is not reused. Its record is retained while the outcome of an invocation
         // sent to it may be undecided.
         self.invokers.retain(|_, invoker| {
-            let last_sent = invoker.sent_work.back();
-            let may_be_undecided =
-                last_sent.is_some_and(|sent| now < sent.at + 2 * longest_timeout);
+            let last_sent_at = invoker.sent_work.last_sent_at();
+            let may_be_undecided = last_sent_at.is_some_and(|at| now < at + 2 * longest_timeout);
             invoker.record.status != InvokerStatus::Gone
                 || invoker.in_flight > 0
                 || may_be_undecided
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -8,6 +8,7 @@
 use super::invokers::InvokerState;
 use super::ranking::HASH_MULTIPLIER;
 use crate::interface::{SECOND, Ticks};
+use std::collections::VecDeque;
 
 /// Safety margin by which this controller's share stays below the limit of an invoker that is warming up.
 const SAFETY_FACTOR: f64 = 0.6;
@@ -16,11 +17,64 @@
 /// Lower bound of the fleet capacity from which shares are computed.
 const MIN_CAPACITY: f64 = 0.01;
 
-/// Work sent to an invoker.
+/// Number of parts of the overload window for each of which the work sent to an invoker is summed.
+const WINDOW_PARTS: Ticks = 64;
+
+/// The work sent to an invoker within the overload window. It is summed by parts of the window, so that its size does
+/// not depend on the number of attempts.
+#[derive(Default)]
 pub(super) struct SentWork {
-    pub at: Ticks,
-    /// Mean run time of the trigger type, in ticks.
-    pub work: f64,
+    /// Sums of the parts in which work was sent, ascending.
+    parts: VecDeque<WorkSum>,
+}
+
+/// Work that was sent in one part of the window.
+struct WorkSum {
+    /// When the last of it was sent. All of it counts as sent then, so that the sum is never too low (rule 4).
+    last_sent_at: Ticks,
+    /// Sum of the mean run times of the trigger types, in ticks.
+    work: f64,
+}
+
+impl SentWork {
+    /// Records work that is sent now.
+    pub(super) fn record(&mut self, now: Ticks, work: f64, window: Ticks) {
+        let part_length = (window / WINDOW_PARTS).max(1);
+        match self.parts.back_mut() {
+            Some(last) if last.last_sent_at / part_length == now / part_length => {
+                last.last_sent_at = now;
+                last.work += work;
+            }
+            _ => self.parts.push_back(WorkSum {
+                last_sent_at: now,
+                work,
+            }),
+        }
+        while self
+            .parts
+            .pop_front_if(|part| part.last_sent_at + window <= now)
+            .is_some()
+        {}
+    }
+
+    /// When the last work was sent, if it may be in the window.
+    pub(super) fn last_sent_at(&self) -> Option<Ticks> {
+        self.parts.back().map(|part| part.last_sent_at)
+    }
+
+    /// The work within the window that ends now, in ticks of run time.
+    fn within(&self, now: Ticks, window: Ticks) -> f64 {
+        let recent = self
+            .parts
+            .iter()
+            .filter(|part| part.last_sent_at + window > now);
+        recent.map(|part| part.work).sum()
+    }
+
+    /// Number of sums.
+    pub(super) fn len(&self) -> usize {
+        self.parts.len()
+    }
 }
 
 /// The rate of work completed for this controller. Only completed work counts: failed attempts must not increase its
@@ -83,12 +137,7 @@
             * own_share
             * window as f64;
         let random_share = self.random_for_window(invoker, window);
-        let recent = invoker
-            .sent_work
-            .iter()
-            .filter(|sent| sent.at + window > self.now);
-        let sent: f64 = recent.map(|sent| sent.work).sum();
-        limit + random_share * run_time - sent
+        limit + random_share * run_time - invoker.sent_work.within(self.now, window)
     }
 
     /// A pseudo-random number between 0 and 1 that is constant within one window.
--- a/tests/memory_bounds.rs
+++ b/tests/memory_bounds.rs
@@ -303,3 +303,26 @@
     assert_eq!(after.0.probe_waits, 0);
     assert_eq!((after.0.timers, after.1), (before.0.timers, before.1));
 }
+
+/// Guards against a history of sent work that has an entry for each attempt: an attempt that was taken back before it was
+/// sent counted for the whole overload window, and every placement at a cold invoker walked through all of them.
+#[test]
+fn size_of_the_sent_work_does_not_depend_on_the_number_of_attempts() {
+    let size_with = |attempts_per_ms: usize| {
+        let mut controller = small_controller(false);
+        let window = deployment().overload_window;
+        for _ in 0..window / MILLISECOND {
+            for _ in 0..attempts_per_ms {
+                controller.invoke_and_abandon(1);
+            }
+            controller.advance(MILLISECOND);
+        }
+        controller.policy.table_sizes().sent_work
+    };
+    let (few, many) = (size_with(20), size_with(100));
+    assert!(few > 0, "nothing was dispatched");
+    assert!(
+        many <= few,
+        "{few} sums with 20 attempts a millisecond, {many} with 100"
+    );
+}
