Policy: expiry in a file of its own

Need: pool_sizing.rs also removed what is no longer needed from all tables, in one function of 40 lines that grew with the bound on functions.

Change: expiry.rs, a method for each table and a rule for each entry (is_retained of instances, functions and invokers). The overview in policy.rs names it, waits and unproven_functions.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,10 +12,12 @@
 //!
 //! On the usual path, `pool_sizing` decides each second how many invokers the pool of a function has, `ranking` which
 //! invokers these are, `placement` selects the invoker with the earliest expected finish, and `loads` orders the loads
-//! that keep the pool loaded. `unproven_functions` bounds the state of functions that may not exist, and `waits` ends with each invocation what it waits for. `retries` and `admission` decide whether an invocation without a response is retried or
+//! that keep the pool loaded. `retries` and `admission` decide whether an invocation without a response is retried or
 //! rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
 //! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders. `outcomes` updates the estimates
-//! of `estimates` from the results of attempts. `docs/design.md` gives the reasons.
+//! of `estimates` from the results of attempts. `waits` ends with an invocation all that it waits for, `expiry` removes
+//! what is no longer needed, and `unproven_functions` bounds the state of functions that may not exist.
+//! `docs/design.md` gives the reasons.
 //!
 //! [`invokers_changed`]: DispatchPolicy::invokers_changed
 //! [`invocation_arrived`]: DispatchPolicy::invocation_arrived
@@ -30,6 +32,7 @@
 mod admission;
 mod attempts;
 mod estimates;
+mod expiry;
 mod functions;
 mod health;
 mod invocations;
--- /dev/null
+++ b/src/policy/expiry.rs
@@ -0,0 +1,100 @@
+//! Expiry: the removal of instances, functions and invokers that are no longer needed.
+
+use super::DispatchPolicy;
+use super::functions::{FunctionState, Instance};
+use super::invokers::InvokerState;
+use super::pool_sizing::IDLE_FUNCTION_TIMEOUT;
+use crate::interface::{InvokerStatus, Ticks};
+
+/// Number of keep-alive times for which an instance that this controller loaded may stay loaded.
+const OWN_INSTANCE_KEEP_ALIVES: Ticks = 3;
+
+impl DispatchPolicy {
+    /// Removes all entries that are no longer needed.
+    pub(super) fn forget_unused(&mut self) {
+        self.forget_unused_instances();
+        self.forget_unused_functions();
+        self.forget_gone_invokers();
+        self.loads
+            .budget
+            .forget_expired(self.now, self.deployment.load_window);
+    }
+
+    fn forget_unused_instances(&mut self) {
+        let (now, keep_alive) = (self.now, self.deployment.keep_alive);
+        for (function_id, function) in &mut self.functions {
+            function.instances.retain(|invoker_id, instance| {
+                // An entry that was created by neither an order nor an attempt is not in the index, and is retained.
+                instance.is_retained(now, keep_alive)
+                    || !self.loads.instances.remove(&(*invoker_id, *function_id))
+            });
+            self.unproven.update(*function_id, function, now);
+        }
+    }
+
+    fn forget_unused_functions(&mut self) {
+        let (now, longest_timeout) = (self.now, self.longest_client_timeout());
+        self.functions.retain(|function_id, function| {
+            let is_retained = function.is_retained(now, longest_timeout);
+            if !is_retained {
+                self.unproven.remove(*function_id, function);
+            }
+            is_retained
+        });
+        self.evict_excess_functions(0);
+    }
+
+    /// Removes invokers that are gone, as the id of such an invoker is not reused.
+    fn forget_gone_invokers(&mut self) {
+        let (now, longest_timeout) = (self.now, self.longest_client_timeout());
+        self.invokers
+            .retain(|_, invoker| invoker.is_retained(now, longest_timeout));
+        let invokers = &self.invokers;
+        self.fleet.suspects.retain(|id| {
+            invokers
+                .get(id)
+                .is_some_and(|invoker| invoker.ejection_time > 0)
+        });
+    }
+
+    /// The longest client timeout of all trigger types.
+    fn longest_client_timeout(&self) -> Ticks {
+        let timeouts = self
+            .triggers
+            .iter()
+            .map(|trigger| trigger.settings.client_timeout);
+        timeouts.max().unwrap_or(0)
+    }
+}
+
+impl Instance {
+    /// Whether the instance is retained in the tables. An instance that this controller loaded may stay loaded after
+    /// its keep-alive time: it is retained so that it can be unloaded.
+    fn is_retained(&self, now: Ticks, keep_alive: Ticks) -> bool {
+        let keep_alives = if self.is_own_load {
+            OWN_INSTANCE_KEEP_ALIVES
+        } else {
+            1
+        };
+        let expires_at = (self.last_used + keep_alives * keep_alive).max(self.load_cooldown_until);
+        self.in_flight > 0 || self.has_load_order || now < expires_at
+    }
+}
+
+impl FunctionState {
+    /// Whether the function is retained in the tables.
+    fn is_retained(&self, now: Ticks, longest_timeout: Ticks) -> bool {
+        let expires_at = self.last_called + IDLE_FUNCTION_TIMEOUT + longest_timeout;
+        now < expires_at || !self.instances.is_empty() || self.usage.open_invocations > 0
+    }
+}
+
+impl InvokerState {
+    /// Whether the invoker's record is retained: after the invoker is gone, while the outcome of an invocation sent to
+    /// it may be undecided.
+    fn is_retained(&self, now: Ticks, longest_timeout: Ticks) -> bool {
+        let last_sent_at = self.sent_work.last_sent_at();
+        let may_be_undecided = last_sent_at.is_some_and(|at| now < at + 2 * longest_timeout);
+        self.record.status != InvokerStatus::Gone || self.in_flight > 0 || may_be_undecided
+    }
+}
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use super::DispatchPolicy;
-use super::functions::{FunctionState, Instance};
+use super::functions::FunctionState;
 use super::loads::MIN_DWELL;
 use super::placement::RANKED_BEYOND_POOL;
 use super::ranking::{Ranked, weight};
@@ -12,7 +12,7 @@
 /// Interval between two sizings of the pools.
 const POOL_SIZING_INTERVAL: Ticks = SECOND;
 /// Time without a call after which a function loses its pool.
-const IDLE_FUNCTION_TIMEOUT: Ticks = 25 * SECOND;
+pub(super) const IDLE_FUNCTION_TIMEOUT: Ticks = 25 * SECOND;
 /// Target utilization of a pool's concurrency. It leaves room for bursts of calls.
 const TARGET_UTILIZATION: f64 = 0.2;
 /// Share of the fleet's memory for pools. The rest is for running invocations and for instances loaded by other
@@ -22,8 +22,6 @@
 const RENEWAL_SHARE: f64 = 0.6;
 /// Share of the load budget for planned loads. The rest is reserved for waiting invocations.
 const PLANNED_LOADS_SHARE: f64 = 0.4;
-/// Number of keep-alive times for which an instance that this controller loaded may stay loaded.
-const OWN_INSTANCE_KEEP_ALIVES: Ticks = 3;
 /// Number of health checks over which pools are filled, so that no single event takes long and loads are ordered soon.
 const FILL_ROUNDS: usize = 5;
 /// Number of invokers examined by rankings in one event after which no further pools are filled.
@@ -90,52 +88,6 @@
         self.pools.fills_per_check = self.pools.fill_queue.len().div_ceil(FILL_ROUNDS);
     }
 
-    /// Removes functions, instances and invokers that are no longer needed.
-    fn forget_unused(&mut self) {
-        let (now, keep_alive) = (self.now, self.deployment.keep_alive);
-        for (function_id, function) in &mut self.functions {
-            function.instances.retain(|invoker_id, instance| {
-                // An entry that was created by neither an order nor an attempt is not in the index, and is retained.
-                instance.is_retained(now, keep_alive)
-                    || !self.loads.instances.remove(&(*invoker_id, *function_id))
-            });
-            self.unproven.update(*function_id, function, now);
-        }
-        let timeouts = self
-            .triggers
-            .iter()
-            .map(|trigger| trigger.settings.client_timeout);
-        let longest_timeout = timeouts.max().unwrap_or(0);
-        self.functions.retain(|function_id, function| {
-            let expires_at = function.last_called + IDLE_FUNCTION_TIMEOUT + longest_timeout;
-            let is_in_use = !function.instances.is_empty() || function.usage.open_invocations > 0;
-            let is_retained = now < expires_at || is_in_use;
-            if !is_retained {
-                self.unproven.remove(*function_id, function);
-            }
-            is_retained
-        });
-        self.evict_excess_functions(0);
-        // The id of an invoker that is gone is not reused. Its record is retained while the outcome of an invocation
-        // sent to it may be undecided.
-        self.invokers.retain(|_, invoker| {
-            let last_sent_at = invoker.sent_work.last_sent_at();
-            let may_be_undecided = last_sent_at.is_some_and(|at| now < at + 2 * longest_timeout);
-            invoker.record.status != InvokerStatus::Gone
-                || invoker.in_flight > 0
-                || may_be_undecided
-        });
-        let invokers = &self.invokers;
-        self.fleet.suspects.retain(|id| {
-            invokers
-                .get(id)
-                .is_some_and(|invoker| invoker.ejection_time > 0)
-        });
-        self.loads
-            .budget
-            .forget_expired(now, self.deployment.load_window);
-    }
-
     /// Memory that pools may use over the whole fleet, in MB; unlimited if no memory is configured.
     fn pool_memory_mb(&self) -> f64 {
         let by_kind = &self.deployment.machine_memory_mb;
@@ -333,17 +285,3 @@
         instance.in_flight == 0 && now >= instance.last_used + renewal_age
     }
 }
-
-impl Instance {
-    /// Whether the instance is retained in the tables. An instance that this controller loaded may stay loaded after
-    /// its keep-alive time: it is retained so that it can be unloaded.
-    fn is_retained(&self, now: Ticks, keep_alive: Ticks) -> bool {
-        let keep_alives = if self.is_own_load {
-            OWN_INSTANCE_KEEP_ALIVES
-        } else {
-            1
-        };
-        let expires_at = (self.last_used + keep_alives * keep_alive).max(self.load_cooldown_until);
-        self.in_flight > 0 || self.has_load_order || now < expires_at
-    }
-}
