--- a/src/policy/unproven_functions.rs
+++ b/src/policy/unproven_functions.rs
@@ -4,9 +4,9 @@
 //! At the bound, the unproven function that has been idle for the longest is forgotten. While none is idle, invocations
 //! of further unknown functions are rejected.
 
+use super::DispatchPolicy;
 use super::functions::FunctionState;
-use super::{DispatchPolicy, FunctionId};
-use crate::interface::{Actions, Deployment, Invocation, Ticks};
+use crate::interface::{Actions, Deployment, FunctionId, Invocation, Ticks};
 use std::collections::BTreeSet;
 
 /// Share of the controller's memory for the state of unproven functions.
