Tests: search for a free address without listening there

What was seen: list_outage failed in the first whole run of the tests (case Ends Silent): the first requests of five clients had no answer, "its connection ended without an answer". No program log told of them.

Cause: free_address bound a listener for a moment. A process that another case starts just then has the listener too until it executes its program; the clients connect to that before the controller listens, and are reset.

Change: an address is free if a connection to it is refused.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -11,6 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 #[test]
@@ -327,3 +328,21 @@
     );
     assert!(most <= LIMIT - SPARE, "{most} of {LIMIT} descriptors");
 }
+
+/// Guards against test clients that lose their first requests: the search for a free address listened there, and a process that
+/// another test started at that moment kept the listener until it executed its program.
+#[test]
+fn nobody_listens_at_a_free_address_while_processes_start() {
+    static IS_ENDING: AtomicBool = AtomicBool::new(false);
+    let starts_processes = std::thread::spawn(|| {
+        while !IS_ENDING.load(Ordering::Relaxed) {
+            let mut process = Command::new("true").spawn().unwrap();
+            process.wait().unwrap();
+        }
+    });
+    let is_connected = |_: &usize| TcpStream::connect(free_address()).is_ok();
+    let connected = (0..5_000).filter(is_connected).count();
+    IS_ENDING.store(true, Ordering::Relaxed);
+    starts_processes.join().unwrap();
+    assert_eq!(connected, 0, "of 5000 free addresses");
+}
--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -282,14 +282,17 @@
 
 /// An address where nobody listens, unique to this test process and this call. It lies outside of the kernel's ephemeral port
 /// range and not on 127.0.0.1, from which the kernel connects: an ephemeral port that was free a moment ago may be taken.
+///
+/// The check does not listen there itself: a process that another thread starts at that moment has the listener too until it
+/// executes its program, and clients would connect to it and be reset.
 pub fn free_address() -> String {
     static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
     let [.., high, low] = std::process::id().to_be_bytes();
     loop {
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = Ipv4Addr::new(127, 1 + high % 250, low, 1);
-        if let Ok(listener) = TcpListener::bind((address, port)) {
-            return listener.local_addr().unwrap().to_string();
+        let address = SocketAddr::from((Ipv4Addr::new(127, 1 + high % 250, low, 1), port));
+        if TcpStream::connect(address).is_err() {
+            return address.to_string();
         }
     }
 }
