Count the table entries that the decision module examines one after the other

The log could not tell which work takes that time: the walk before a load, the timers, or the requests themselves.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,6 +47,7 @@
 mod ranking;
 mod readiness;
 mod retries;
+mod scans;
 mod slow_start;
 mod timers;
 mod unproven_functions;
@@ -64,6 +65,7 @@
 use pool_sizing::PoolSizing;
 use ranking::ReadyInvokers;
 use readiness::EndpointListFreshness;
+use scans::ScanCounter;
 use slow_start::CompletedWork;
 use std::collections::BTreeMap;
 use timers::Timers;
@@ -116,6 +118,7 @@
     loads: Loads,
     pools: PoolSizing,
     completed_work: CompletedWork,
+    scans: ScanCounter,
 }
 
 impl DispatchPolicy {
@@ -146,6 +149,7 @@
             loads: Loads::default(),
             pools,
             completed_work: CompletedWork::default(),
+            scans: ScanCounter::default(),
         };
         policy.size_pools(actions);
         policy.check_health(actions);
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -4,6 +4,7 @@
 use super::functions::{FunctionState, Instance};
 use super::invokers::InvokerState;
 use super::pool_sizing::IDLE_FUNCTION_TIMEOUT;
+use super::scans::ScanPurpose;
 use crate::interface::{InvokerStatus, Ticks};
 
 /// Number of keep-alive times for which an instance that this controller loaded may stay loaded.
@@ -23,6 +24,8 @@
     fn forget_unused_instances(&mut self) {
         let (now, keep_alive) = (self.now, self.deployment.keep_alive);
         for (function_id, function) in &mut self.functions {
+            self.scans
+                .record(ScanPurpose::Timer, 1 + function.instances.len());
             function.instances.retain(|invoker_id, instance| {
                 // An entry that was created by neither an order nor an attempt is not in the index, and is retained.
                 instance.is_retained(now, keep_alive)
@@ -34,6 +37,7 @@
 
     fn forget_unused_functions(&mut self) {
         let (now, longest_timeout) = (self.now, self.longest_client_timeout());
+        self.scans.record(ScanPurpose::Timer, self.functions.len());
         self.functions.retain(|function_id, function| {
             let is_retained = function.is_retained(now, longest_timeout);
             if !is_retained {
--- a/src/policy/invokers.rs
+++ b/src/policy/invokers.rs
@@ -2,6 +2,7 @@
 
 use super::estimates::TimedValue;
 use super::readiness::Confirmation;
+use super::scans::ScanPurpose;
 use super::slow_start::SentWork;
 use super::{DispatchPolicy, FunctionState};
 use crate::interface::{FunctionId, InvokerId, InvokerRecord, InvokerStatus, Ticks};
@@ -116,7 +117,9 @@
 
     /// Marks all instances at an invoker as not loaded, after its process has ended.
     pub(super) fn forget_instances(&mut self, invoker_id: InvokerId) {
-        for function_id in self.loads.functions_at(invoker_id) {
+        let function_ids = self.loads.functions_at(invoker_id);
+        self.scans.record(ScanPurpose::Restart, function_ids.len());
+        for function_id in function_ids {
             let function = self.functions.get_mut(&function_id);
             let instance = function.and_then(|function| function.instances.get_mut(&invoker_id));
             if let Some(instance) = instance {
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -6,6 +6,7 @@
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::load_breaker::LoadBreaker;
 use super::load_budget::LoadBudget;
+use super::scans::ScanPurpose;
 use super::waits::WaitEvent;
 use crate::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, SECOND, Ticks,
@@ -130,7 +131,9 @@
         if !self.deployment.may_load {
             return;
         }
-        for function_id in self.loads.functions_at(invoker_id) {
+        let function_ids = self.loads.functions_at(invoker_id);
+        self.scans.record(ScanPurpose::Unload, function_ids.len());
+        for function_id in function_ids {
             if function_id == loading {
                 continue;
             }
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -47,6 +47,7 @@
             rank_steps: self.ready.rank_steps(),
             loads_counted: self.loads.budget.orders_counted(),
             invocations_counted: self.loads.budget.invocations_counted(),
+            scanned: self.scans.counts(),
         }
     }
 }
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -6,6 +6,7 @@
 use super::loads::MIN_DWELL;
 use super::placement::RANKED_BEYOND_POOL;
 use super::ranking::{Ranked, weight};
+use super::scans::ScanPurpose;
 use crate::interface::{Actions, FunctionId, InvokerStatus, SECOND, Ticks};
 use std::collections::VecDeque;
 
@@ -76,6 +77,7 @@
         let own_share = self.ready.len() as f64 / f64::from(self.deployment.controllers);
         self.pools.planned_load_allowance =
             (self.pools.planned_load_allowance + own_share).min(own_share.max(1.0));
+        self.scans.record(ScanPurpose::Timer, demands.len());
         for demand in demands {
             let Some(function) = self.functions.get_mut(&demand.function) else {
                 continue;
@@ -113,6 +115,7 @@
         let now = self.now;
         let max_pool_size = self.ready.len().max(1) as f64;
         let mut demands: Vec<Demand> = Vec::new();
+        self.scans.record(ScanPurpose::Timer, self.functions.len());
         for (function_id, function) in &mut self.functions {
             if now >= function.last_called + IDLE_FUNCTION_TIMEOUT {
                 function.dissolve_pool(now);
@@ -159,6 +162,9 @@
             return;
         }
         let pool = self.select_pool(function_id);
+        let instances = self.functions[&function_id].instances.len();
+        self.scans
+            .record(ScanPurpose::Timer, 1 + pool.len() + instances);
         self.mark_outside_pool(function_id, &pool);
         for ranked in pool {
             if self.pools.planned_load_allowance < 1.0 || !self.may_order_load(PLANNED_LOADS_SHARE)
--- a/src/policy/timers.rs
+++ b/src/policy/timers.rs
@@ -70,5 +70,6 @@
             }
         }
         self.now = now;
+        self.scans.begin_event();
     }
 }
