--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,7 +14,7 @@
 //! invokers these are, `placement` selects the invoker with the earliest expected finish, and `loads` orders the loads
 //! that keep the pool loaded. `retries` and `admission` decide whether an invocation without a response is retried or
 //! rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
-//! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders. `outcomes` updates the estimates
+//! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders, `unloads` makes room for loads. `outcomes` updates the estimates
 //! of `estimates` from the results of attempts. `waits` ends with an invocation all that it waits for, `expiry` removes
 //! what is no longer needed, and `unproven_functions` bounds the state of functions that may not exist.
 //! `docs/design.md` gives the reasons.
@@ -50,6 +50,7 @@
 mod scans;
 mod slow_start;
 mod timers;
+mod unloads;
 mod unproven_functions;
 mod waits;
 
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::DispatchPolicy;
 use super::admission::DEADLINE_MARGIN;
+use super::functions::Instance;
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::invocations::{Attempt, EarlierAttempt};
 use super::invokers::InvokerState;
@@ -110,11 +111,9 @@
         self.fleet.in_flight += 1;
         let instance = function.instances.entry(invoker_id).or_default();
         self.loads.instances.insert((invoker_id, function_id));
-        instance.in_flight += 1;
-        instance.last_used = now;
-        if begins_load {
-            instance.loading_since = instance.loading_since.or(Some(now));
-        }
+        instance.record_sent(now, begins_load);
+        let candidates = &mut self.loads.unload_candidates;
+        candidates.update(invoker_id, function_id, instance);
         state.in_flight = Some(Attempt {
             invoker: invoker_id,
             sent_at: now,
@@ -184,6 +183,17 @@
     }
 }
 
+impl Instance {
+    /// Records an attempt that is sent now.
+    fn record_sent(&mut self, now: Ticks, begins_load: bool) {
+        self.in_flight += 1;
+        self.last_used = now;
+        if begins_load {
+            self.loading_since = self.loading_since.or(Some(now));
+        }
+    }
+}
+
 impl InvokerState {
     /// Records work that is sent to the invoker now.
     fn record_sent(&mut self, now: Ticks, work: f64, overload_window: Ticks) {
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -28,8 +28,14 @@
                 .record(ScanPurpose::Timer, 1 + function.instances.len());
             function.instances.retain(|invoker_id, instance| {
                 // An entry that was created by neither an order nor an attempt is not in the index, and is retained.
-                instance.is_retained(now, keep_alive)
-                    || !self.loads.instances.remove(&(*invoker_id, *function_id))
+                let is_retained = instance.is_retained(now, keep_alive)
+                    || !self.loads.instances.remove(&(*invoker_id, *function_id));
+                if !is_retained {
+                    self.loads
+                        .unload_candidates
+                        .remove(*invoker_id, *function_id, instance);
+                }
+                is_retained
             });
             self.unproven.update(*function_id, function, now);
         }
--- a/src/policy/functions.rs
+++ b/src/policy/functions.rs
@@ -2,6 +2,7 @@
 
 use super::estimates::{QuantileMean, TimedValue, decay};
 use super::ranking::Ranking;
+use super::unloads::UnloadCandidates;
 use super::unproven_functions::FunctionUse;
 use super::waits::Waiters;
 use super::{DispatchPolicy, RATE_TIME_CONSTANTS_S, TriggerStats};
@@ -39,6 +40,8 @@
     /// The latest of the times at which the invoker left the function's pool and the function was last called; none
     /// while the invoker is in the pool.
     pub unused_since: Option<Ticks>,
+    /// The time by which the instance is listed in [`UnloadCandidates`]; none: it is not listed.
+    pub candidate_since: Option<Ticks>,
     /// No load is ordered at this invoker before this time.
     pub load_cooldown_until: Ticks,
     /// Until this time the instance counts as missing, after an attempt ended in a miss.
@@ -55,6 +58,12 @@
         self.is_loaded && (self.in_flight > 0 || now < self.last_used + keep_alive)
     }
 
+    /// Since when the instance is unused, if this controller loaded it and it may be unloaded.
+    pub(super) fn unloadable_since(&self) -> Option<Ticks> {
+        let is_idle = self.in_flight == 0 && !self.has_load_order;
+        self.unused_since.filter(|_| self.is_own_load && is_idle)
+    }
+
     /// Expected number of invocations that run or wait here: this controller's own, or those of all controllers as last
     /// reported, whichever is higher.
     pub(super) fn concurrency(&self, now: Ticks) -> f64 {
@@ -104,9 +113,10 @@
     fn bytes_with(instances: usize, ranking_bytes: usize) -> usize {
         let node_bytes = TREE_NODE_CAPACITY * size_of::<(InvokerId, Instance)>();
         let nodes = instances.div_ceil(TREE_NODE_MIN_ENTRIES);
-        // The table of functions, the index of instances and the queues hold up to twice the size of their entries.
+        // The table of functions, the indexes of instances and the queues hold up to twice the size of their entries.
         let table_bytes = 2 * size_of::<(FunctionId, Self)>();
-        let index_bytes = 2 * instances * size_of::<(InvokerId, FunctionId)>();
+        let index_bytes =
+            2 * instances * (size_of::<(InvokerId, FunctionId)>() + UnloadCandidates::ENTRY_BYTES);
         table_bytes + index_bytes + nodes * node_bytes + ranking_bytes
     }
 
@@ -161,7 +171,12 @@
             .max(calls(2) / (observed_s + RATE_PRIOR_S))
     }
 
-    fn count_call(&mut self, request: &Invocation, now: Ticks) {
+    fn count_call(
+        &mut self,
+        request: &Invocation,
+        now: Ticks,
+        unload_candidates: &mut UnloadCandidates,
+    ) {
         for (calls, time_constant_s) in self.decayed_calls.iter_mut().zip(RATE_TIME_CONSTANTS_S) {
             *calls = *calls * decay(now - self.last_called, time_constant_s) + 1.0;
         }
@@ -169,8 +184,9 @@
         self.concurrency_limit = request.concurrency_limit;
         self.memory_mb = request.memory_mb;
         self.load_time_hint = request.load_time_hint.map(|ticks| ticks as f64);
-        for instance in self.instances.values_mut() {
+        for (invoker, instance) in &mut self.instances {
             instance.unused_since = instance.unused_since.map(|_| now);
+            unload_candidates.update(*invoker, request.function, instance);
         }
     }
 }
@@ -189,7 +205,7 @@
                 run_time: run_time.clone(),
                 ..FunctionState::default()
             });
-        function.count_call(request, now);
+        function.count_call(request, now, &mut self.loads.unload_candidates);
         function.usage.open_invocations += 1;
         self.unproven.update(request.function, function, now);
         // Calls of functions that may not exist must not increase the load budget (rule 5): clients may request any
--- a/src/policy/invokers.rs
+++ b/src/policy/invokers.rs
@@ -126,6 +126,9 @@
                 instance.is_loaded = false;
                 instance.loading_since = None;
                 instance.is_own_load = false;
+                self.loads
+                    .unload_candidates
+                    .update(invoker_id, function_id, instance);
             }
         }
     }
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -6,7 +6,7 @@
 use super::health::HEALTH_CHECK_INTERVAL;
 use super::load_breaker::LoadBreaker;
 use super::load_budget::LoadBudget;
-use super::scans::ScanPurpose;
+use super::unloads::UnloadCandidates;
 use super::waits::WaitEvent;
 use crate::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, SECOND, Ticks,
@@ -28,6 +28,7 @@
     pub budget: LoadBudget,
     /// Index of the entries of [`FunctionState::instances`], by invoker.
     pub instances: BTreeSet<(InvokerId, FunctionId)>,
+    pub unload_candidates: UnloadCandidates,
     /// Share of attempts at invokers without a known instance that found none.
     pub absence_rate: f64,
 }
@@ -38,6 +39,7 @@
             breaker: LoadBreaker::default(),
             budget: LoadBudget::default(),
             instances: BTreeSet::new(),
+            unload_candidates: UnloadCandidates::default(),
             absence_rate: 1.0,
         }
     }
@@ -106,6 +108,9 @@
         self.loads.instances.insert((invoker_id, function_id));
         instance.has_load_order = true;
         instance.is_own_load = true;
+        self.loads
+            .unload_candidates
+            .update(invoker_id, function_id, instance);
         if begins_load {
             instance.loading_since = instance.loading_since.or(Some(now));
             self.unload_stale_instances(invoker_id, function_id, actions);
@@ -120,41 +125,6 @@
         true
     }
 
-    /// Unloads the idle instances at an invoker that this controller loaded and that were outside their pool, without a
-    /// call, for a dwell time. Called before a load at the invoker.
-    pub(super) fn unload_stale_instances(
-        &mut self,
-        invoker_id: InvokerId,
-        loading: FunctionId,
-        actions: &mut dyn Actions,
-    ) {
-        if !self.deployment.may_load {
-            return;
-        }
-        let function_ids = self.loads.functions_at(invoker_id);
-        self.scans.record(ScanPurpose::Unload, function_ids.len());
-        for function_id in function_ids {
-            if function_id == loading {
-                continue;
-            }
-            let function = self.functions.get_mut(&function_id);
-            let Some(instance) =
-                function.and_then(|function| function.instances.get_mut(&invoker_id))
-            else {
-                continue;
-            };
-            let is_idle = instance.in_flight == 0 && !instance.has_load_order;
-            let is_stale = instance
-                .unused_since
-                .is_some_and(|since| self.now >= since + MIN_DWELL);
-            if instance.is_own_load && is_idle && is_stale {
-                instance.is_loaded = false;
-                instance.is_own_load = false;
-                actions.unload(invoker_id, function_id);
-            }
-        }
-    }
-
     /// Handles the end of a load order.
     pub fn load_ended(&mut self, now: Ticks, result: LoadResult, actions: &mut dyn Actions) {
         self.advance_clock(now);
@@ -166,6 +136,9 @@
         };
         let was_loading = function.record_load(now, &result);
         let instance = function.instances.entry(result.invoker).or_default();
+        self.loads
+            .unload_candidates
+            .update(result.invoker, result.function, instance);
         let continuations = instance.load_waiters.take();
         self.record_load_health(&result);
         if result.outcome == LoadOutcome::LoadFailed {
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -68,6 +68,7 @@
         let is_error = matches!(result.outcome, Outcome::Errored | Outcome::Reset) && !load_failed;
         invoker.error_rate += ERROR_WEIGHT * (f64::from(is_error) - invoker.error_rate);
         self.fleet.in_flight -= 1;
+        self.update_unload_candidate(invoker_id, request.function);
         self.record_start_kind(attempt, result, load_time);
         self.record_lateness(attempt, result);
         if result.outcome != Outcome::Succeeded {
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -7,6 +7,7 @@
 use super::placement::RANKED_BEYOND_POOL;
 use super::ranking::{Ranked, weight};
 use super::scans::ScanPurpose;
+use super::unloads::UnloadCandidates;
 use crate::interface::{Actions, FunctionId, InvokerStatus, SECOND, Ticks};
 use std::collections::VecDeque;
 
@@ -118,7 +119,7 @@
         self.scans.record(ScanPurpose::Timer, self.functions.len());
         for (function_id, function) in &mut self.functions {
             if now >= function.last_called + IDLE_FUNCTION_TIMEOUT {
-                function.dissolve_pool(now);
+                function.dissolve_pool(*function_id, now, &mut self.loads.unload_candidates);
                 continue;
             }
             let rate = function.call_rate(now, self.started_at);
@@ -242,6 +243,9 @@
             });
             let outside_since = instance.unused_since.or(Some(self.now));
             instance.unused_since = if is_in_pool { None } else { outside_since };
+            self.loads
+                .unload_candidates
+                .update(*invoker_id, function_id, instance);
         }
     }
 
@@ -269,10 +273,16 @@
         }
     }
 
-    fn dissolve_pool(&mut self, now: Ticks) {
+    fn dissolve_pool(
+        &mut self,
+        id: FunctionId,
+        now: Ticks,
+        unload_candidates: &mut UnloadCandidates,
+    ) {
         self.pool_size = 0;
-        for instance in self.instances.values_mut() {
+        for (invoker, instance) in &mut self.instances {
             instance.unused_since = instance.unused_since.or(Some(now));
+            unload_candidates.update(*invoker, id, instance);
         }
     }
 
--- a/src/policy/unproven_functions.rs
+++ b/src/policy/unproven_functions.rs
@@ -117,8 +117,9 @@
             return;
         };
         self.unproven.remove(id, &function);
-        for invoker in function.instances.keys() {
+        for (invoker, instance) in &function.instances {
             self.loads.instances.remove(&(*invoker, id));
+            self.loads.unload_candidates.remove(*invoker, id, instance);
         }
     }
 
