Record the end of an invoker's process once, not for each function there

At the restart of an invoker, and at each reset by one whose errors are frequent, forget_instances copied and walked all functions with an entry there. An invoker that dies with hundreds of requests in flight resets each of them, and each reset walked again.

Change: the end of a process raises the number of the invoker's current process (processes.rs). What is known to be loaded at an invoker carries the number of its process and is void for later ones (instances.rs). It works because the number is compared wherever that state is read: the fields are private to Instance. The index of all instances by invoker is gone with its two walks, and scanned_restart, which nothing counts any more.

Test: the_end_of_a_process_does_not_examine_the_functions_loaded_there failed before.

--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -44,7 +44,6 @@
         policy_timers = sizes.timers,
         load_waits = sizes.load_waits,
         scanned_unload = sizes.scanned.unload,
-        scanned_restart = sizes.scanned.restart,
         scanned_timers = sizes.scanned.timers,
         longest_scan = sizes.scanned.longest_event,
         timers = state.invocations.timers(),
--- a/src/interface/sizes.rs
+++ b/src/interface/sizes.rs
@@ -6,8 +6,6 @@
 pub struct ScanCounts {
     /// Before loads: to find the instances to unload.
     pub unload: u64,
-    /// After the end of an invoker's process: to forget its instances.
-    pub restart: u64,
     /// In timers: to remove what is no longer needed, and to size and fill the pools.
     pub timers: u64,
     /// The most that were examined within one event.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -2,12 +2,13 @@
 
 use super::DispatchPolicy;
 use super::admission::DEADLINE_MARGIN;
-use super::functions::Instance;
 use super::health::HEALTH_CHECK_INTERVAL;
+use super::instances::Instance;
 use super::invocations::{Attempt, EarlierAttempt};
 use super::invokers::InvokerState;
 use super::loads::FULL_BUDGET_SHARE;
 use super::placement::{CORES_PER_INVOKER, Placement};
+use super::processes::ProcessNumber;
 use crate::interface::{Actions, AttemptResult, Effect, InvocationId, InvokerId, Outcome, Ticks};
 
 impl DispatchPolicy {
@@ -109,9 +110,10 @@
             self.deployment.overload_window,
         );
         self.fleet.in_flight += 1;
-        let instance = function.instances.entry(invoker_id).or_default();
-        self.loads.instances.insert((invoker_id, function_id));
-        instance.record_sent(now, begins_load);
+        let processes = &mut self.loads.processes;
+        let process = processes.number(invoker_id);
+        let instance = function.track_instance(invoker_id, processes);
+        instance.record_sent(process, now, begins_load);
         let candidates = &mut self.loads.unload_candidates;
         candidates.update(invoker_id, function_id, instance);
         state.in_flight = Some(Attempt {
@@ -185,11 +187,12 @@
 
 impl Instance {
     /// Records an attempt that is sent now.
-    fn record_sent(&mut self, now: Ticks, begins_load: bool) {
+    fn record_sent(&mut self, process: ProcessNumber, now: Ticks, begins_load: bool) {
         self.in_flight += 1;
         self.last_used = now;
         if begins_load {
-            self.loading_since = self.loading_since.or(Some(now));
+            let load_state = self.load_state_mut(process);
+            load_state.loading_since = load_state.loading_since.or(Some(now));
         }
     }
 }
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -1,9 +1,11 @@
 //! Expiry: the removal of instances, functions and invokers that are no longer needed.
 
 use super::DispatchPolicy;
-use super::functions::{FunctionState, Instance};
+use super::functions::FunctionState;
+use super::instances::Instance;
 use super::invokers::InvokerState;
 use super::pool_sizing::IDLE_FUNCTION_TIMEOUT;
+use super::processes::ProcessNumber;
 use super::scans::ScanPurpose;
 use crate::interface::{InvokerStatus, Ticks};
 
@@ -23,17 +25,15 @@
 
     fn forget_unused_instances(&mut self) {
         let (now, keep_alive) = (self.now, self.deployment.keep_alive);
+        let loads = &mut self.loads;
         for (function_id, function) in &mut self.functions {
             self.scans
                 .record(ScanPurpose::Timer, 1 + function.instances.len());
             function.instances.retain(|invoker_id, instance| {
-                // An entry that was created by neither an order nor an attempt is not in the index, and is retained.
-                let is_retained = instance.is_retained(now, keep_alive)
-                    || !self.loads.instances.remove(&(*invoker_id, *function_id));
+                let process = loads.processes.number(*invoker_id);
+                let is_retained = instance.is_retained(process, now, keep_alive);
                 if !is_retained {
-                    self.loads
-                        .unload_candidates
-                        .remove(*invoker_id, *function_id, instance);
+                    loads.instance_removed(*invoker_id, *function_id, instance);
                 }
                 is_retained
             });
@@ -80,8 +80,8 @@
 impl Instance {
     /// Whether the instance is retained in the tables. An instance that this controller loaded may stay loaded after
     /// its keep-alive time: it is retained so that it can be unloaded.
-    fn is_retained(&self, now: Ticks, keep_alive: Ticks) -> bool {
-        let keep_alives = if self.is_own_load {
+    fn is_retained(&self, process: ProcessNumber, now: Ticks, keep_alive: Ticks) -> bool {
+        let keep_alives = if self.load_state(process).is_own_load {
             OWN_INSTANCE_KEEP_ALIVES
         } else {
             1
--- a/src/policy/functions.rs
+++ b/src/policy/functions.rs
@@ -1,10 +1,11 @@
 //! The state of a function: its call rate, run time and load time, and its instances at invokers.
 
-use super::estimates::{QuantileMean, TimedValue, decay};
+use super::estimates::{QuantileMean, decay};
+use super::instances::{Instance, LoadState};
+use super::processes::InvokerProcesses;
 use super::ranking::Ranking;
 use super::unloads::UnloadCandidates;
 use super::unproven_functions::FunctionUse;
-use super::waits::Waiters;
 use super::{DispatchPolicy, RATE_TIME_CONSTANTS_S, TriggerStats};
 use crate::interface::{FunctionId, Invocation, InvokerId, SECOND, Ticks};
 use std::collections::BTreeMap;
@@ -16,64 +17,10 @@
 const RATE_PRIOR_S: f64 = 10.0;
 /// Lower bound of the remaining load time, as a share of the load time.
 const MIN_REMAINING_LOAD_SHARE: f64 = 0.1;
-/// Time constant, in seconds, with which the reported concurrency of an instance decays.
-const CONCURRENCY_TIME_CONSTANT_S: f64 = 5.0;
 /// Maximum and minimum number of entries in a node of the standard library's B-trees.
 const TREE_NODE_CAPACITY: usize = 11;
 const TREE_NODE_MIN_ENTRIES: usize = 5;
 
-/// The instances of a function at one invoker, as known to this controller.
-#[derive(Default)]
-pub(super) struct Instance {
-    /// Whether an instance was loaded, by the last response or load result.
-    pub is_loaded: bool,
-    /// When this controller last used an instance.
-    pub last_used: Ticks,
-    /// When the load in progress began.
-    pub loading_since: Option<Ticks>,
-    /// Whether a load order is in flight.
-    pub has_load_order: bool,
-    /// Steps to run when that load order ends.
-    pub load_waiters: Waiters,
-    /// Whether this controller ordered the load.
-    pub is_own_load: bool,
-    /// The latest of the times at which the invoker left the function's pool and the function was last called; none
-    /// while the invoker is in the pool.
-    pub unused_since: Option<Ticks>,
-    /// The time by which the instance is listed in [`UnloadCandidates`]; none: it is not listed.
-    pub candidate_since: Option<Ticks>,
-    /// No load is ordered at this invoker before this time.
-    pub load_cooldown_until: Ticks,
-    /// Until this time the instance counts as missing, after an attempt ended in a miss.
-    pub miss_expires_at: Ticks,
-    /// Number of attempts in flight.
-    pub in_flight: u32,
-    /// Concurrency of the function at the invoker, as last reported in a response.
-    pub reported_concurrency: TimedValue,
-}
-
-impl Instance {
-    /// Whether an instance is expected to be loaded now.
-    pub(super) fn is_warm(&self, now: Ticks, keep_alive: Ticks) -> bool {
-        self.is_loaded && (self.in_flight > 0 || now < self.last_used + keep_alive)
-    }
-
-    /// Since when the instance is unused, if this controller loaded it and it may be unloaded.
-    pub(super) fn unloadable_since(&self) -> Option<Ticks> {
-        let is_idle = self.in_flight == 0 && !self.has_load_order;
-        self.unused_since.filter(|_| self.is_own_load && is_idle)
-    }
-
-    /// Expected number of invocations that run or wait here: this controller's own, or those of all controllers as last
-    /// reported, whichever is higher.
-    pub(super) fn concurrency(&self, now: Ticks) -> f64 {
-        f64::from(self.in_flight).max(
-            self.reported_concurrency
-                .decayed(now, CONCURRENCY_TIME_CONSTANT_S),
-        )
-    }
-}
-
 /// A function, its demand and its instances.
 #[derive(Default)]
 pub(super) struct FunctionState {
@@ -113,7 +60,7 @@
     fn bytes_with(instances: usize, ranking_bytes: usize) -> usize {
         let node_bytes = TREE_NODE_CAPACITY * size_of::<(InvokerId, Instance)>();
         let nodes = instances.div_ceil(TREE_NODE_MIN_ENTRIES);
-        // The table of functions, the indexes of instances and the queues hold up to twice the size of their entries.
+        // The table of functions, the candidates to unload and the queues hold up to twice the size of their entries.
         let table_bytes = 2 * size_of::<(FunctionId, Self)>();
         let index_bytes =
             2 * instances * (size_of::<(InvokerId, FunctionId)>() + UnloadCandidates::ENTRY_BYTES);
@@ -131,9 +78,9 @@
     }
 
     /// Expected time, in ticks, until an instance is loaded at an invoker, if a load begins now or is in progress.
-    pub(super) fn remaining_load_time(&self, instance: Option<&Instance>, now: Ticks) -> f64 {
+    pub(super) fn remaining_load_time(&self, load_state: LoadState, now: Ticks) -> f64 {
         let load_time = self.load_time();
-        match instance.and_then(|instance| instance.loading_since) {
+        match load_state.loading_since {
             Some(since) => {
                 (load_time - (now - since) as f64).max(MIN_REMAINING_LOAD_SHARE * load_time)
             }
@@ -149,11 +96,23 @@
         }
     }
 
-    /// Whether an instance is expected to be loaded at this invoker.
-    pub(super) fn is_warm_at(&self, invoker: InvokerId, now: Ticks, keep_alive: Ticks) -> bool {
+    /// What is loaded at an invoker.
+    pub(super) fn load_state(&self, invoker: InvokerId, processes: &InvokerProcesses) -> LoadState {
+        let instance = self.instances.get(&invoker);
+        instance.map_or_else(LoadState::default, |instance| {
+            instance.load_state(processes.number(invoker))
+        })
+    }
+
+    /// The instance at an invoker, which is tracked from now on.
+    pub(super) fn track_instance(
+        &mut self,
+        invoker: InvokerId,
+        processes: &mut InvokerProcesses,
+    ) -> &mut Instance {
         self.instances
-            .get(&invoker)
-            .is_some_and(|instance| instance.is_warm(now, keep_alive))
+            .entry(invoker)
+            .or_insert_with(|| Instance::new(processes.instance_added(invoker)))
     }
 
     /// Calls per second, over the longest time constant. Shorter time constants raise the rate only beyond random
--- a/src/policy/invokers.rs
+++ b/src/policy/invokers.rs
@@ -1,8 +1,8 @@
 //! The state of an invoker, and its updates from the endpoint list.
 
 use super::estimates::TimedValue;
+use super::processes::InvokerProcesses;
 use super::readiness::Confirmation;
-use super::scans::ScanPurpose;
 use super::slow_start::SentWork;
 use super::{DispatchPolicy, FunctionState};
 use crate::interface::{FunctionId, InvokerId, InvokerRecord, InvokerStatus, Ticks};
@@ -42,6 +42,13 @@
     pub sent_work: SentWork,
 }
 
+/// The states of a function and an invoker.
+pub(super) struct AttemptTarget<'a> {
+    pub function: &'a mut FunctionState,
+    pub invoker: &'a mut InvokerState,
+    pub processes: &'a mut InvokerProcesses,
+}
+
 impl InvokerState {
     fn new(record: &InvokerRecord, now: Ticks, is_first_list: bool) -> Self {
         // An invoker that first appears after the first list has just started, even if its start is not reported.
@@ -111,36 +118,20 @@
                 value: 1.0,
                 at: now,
             };
-            self.forget_instances(record.invoker);
-        }
-    }
-
-    /// Marks all instances at an invoker as not loaded, after its process has ended.
-    pub(super) fn forget_instances(&mut self, invoker_id: InvokerId) {
-        let function_ids = self.loads.functions_at(invoker_id);
-        self.scans.record(ScanPurpose::Restart, function_ids.len());
-        for function_id in function_ids {
-            let function = self.functions.get_mut(&function_id);
-            let instance = function.and_then(|function| function.instances.get_mut(&invoker_id));
-            if let Some(instance) = instance {
-                instance.is_loaded = false;
-                instance.loading_since = None;
-                instance.is_own_load = false;
-                self.loads
-                    .unload_candidates
-                    .update(invoker_id, function_id, instance);
-            }
+            self.loads.processes.ended(record.invoker);
         }
     }
 
-    /// The states of a function and an invoker, if both are known.
-    pub(super) fn function_and_invoker(
+    /// The states that the result of an attempt updates, if the function and the invoker are known.
+    pub(super) fn attempt_target(
         &mut self,
         function_id: FunctionId,
         invoker_id: InvokerId,
-    ) -> Option<(&mut FunctionState, &mut InvokerState)> {
-        let function = self.functions.get_mut(&function_id)?;
-        let invoker = self.invokers.get_mut(&invoker_id)?;
-        Some((function, invoker))
+    ) -> Option<AttemptTarget<'_>> {
+        Some(AttemptTarget {
+            function: self.functions.get_mut(&function_id)?,
+            invoker: self.invokers.get_mut(&invoker_id)?,
+            processes: &mut self.loads.processes,
+        })
     }
 }
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -2,16 +2,16 @@
 //! of the circuit breaker, and the updates from their results.
 
 use super::DispatchPolicy;
-use super::functions::FunctionState;
 use super::health::HEALTH_CHECK_INTERVAL;
+use super::instances::Instance;
 use super::load_breaker::LoadBreaker;
 use super::load_budget::LoadBudget;
+use super::processes::{InvokerProcesses, ProcessNumber};
 use super::unloads::UnloadCandidates;
 use super::waits::WaitEvent;
 use crate::interface::{
     Actions, FunctionId, InvocationId, InvokerId, LoadOutcome, LoadResult, SECOND, Ticks,
 };
-use std::collections::BTreeSet;
 
 /// How long no load of a function is ordered at an invoker after a failed load there.
 pub(super) const LOAD_COOLDOWN: Ticks = 3 * SECOND;
@@ -26,8 +26,7 @@
 pub(super) struct Loads {
     pub breaker: LoadBreaker,
     pub budget: LoadBudget,
-    /// Index of the entries of [`FunctionState::instances`], by invoker.
-    pub instances: BTreeSet<(InvokerId, FunctionId)>,
+    pub processes: InvokerProcesses,
     pub unload_candidates: UnloadCandidates,
     /// Share of attempts at invokers without a known instance that found none.
     pub absence_rate: f64,
@@ -38,7 +37,7 @@
         Self {
             breaker: LoadBreaker::default(),
             budget: LoadBudget::default(),
-            instances: BTreeSet::new(),
+            processes: InvokerProcesses::default(),
             unload_candidates: UnloadCandidates::default(),
             absence_rate: 1.0,
         }
@@ -46,12 +45,15 @@
 }
 
 impl Loads {
-    /// The functions with an entry at this invoker, ascending.
-    pub(super) fn functions_at(&self, invoker: InvokerId) -> Vec<FunctionId> {
-        let range = self
-            .instances
-            .range((invoker, 0)..=(invoker, FunctionId::MAX));
-        range.map(|(_, function)| *function).collect()
+    /// Removes an instance that is no longer tracked from the tables of all loads.
+    pub(super) fn instance_removed(
+        &mut self,
+        invoker: InvokerId,
+        function: FunctionId,
+        instance: &Instance,
+    ) {
+        self.processes.instance_removed(invoker);
+        self.unload_candidates.remove(invoker, function, instance);
     }
 
     /// Records whether an invoker without a known instance turned out to have none.
@@ -103,16 +105,20 @@
         let Some(function) = self.functions.get_mut(&function_id) else {
             return false;
         };
-        let begins_load = !function.is_warm_at(invoker_id, now, self.deployment.keep_alive);
-        let instance = function.instances.entry(invoker_id).or_default();
-        self.loads.instances.insert((invoker_id, function_id));
+        let processes = &mut self.loads.processes;
+        let process = processes.number(invoker_id);
+        let instance = function.track_instance(invoker_id, processes);
+        let begins_load = !instance.is_warm(process, now, self.deployment.keep_alive);
         instance.has_load_order = true;
-        instance.is_own_load = true;
+        let load_state = instance.load_state_mut(process);
+        load_state.is_own_load = true;
+        if begins_load {
+            load_state.loading_since = load_state.loading_since.or(Some(now));
+        }
         self.loads
             .unload_candidates
             .update(invoker_id, function_id, instance);
         if begins_load {
-            instance.loading_since = instance.loading_since.or(Some(now));
             self.unload_stale_instances(invoker_id, function_id, actions);
             self.loads.breaker.load_began(now);
         }
@@ -134,8 +140,14 @@
         let Some(function) = self.functions.get_mut(&result.function) else {
             return;
         };
-        let was_loading = function.record_load(now, &result);
-        let instance = function.instances.entry(result.invoker).or_default();
+        if result.outcome == LoadOutcome::Loaded {
+            let load_time = result.duration as f64;
+            function.longest_load_time = function.longest_load_time.max(load_time);
+        }
+        let processes = &mut self.loads.processes;
+        let process = processes.number(result.invoker);
+        let instance = function.track_instance(result.invoker, processes);
+        let was_loading = instance.record_load(process, now, &result);
         self.loads
             .unload_candidates
             .update(result.invoker, result.function, instance);
@@ -184,18 +196,19 @@
     }
 }
 
-impl FunctionState {
+impl Instance {
     /// Records the end of a load order. Returns whether a load was in progress.
-    fn record_load(&mut self, now: Ticks, result: &LoadResult) -> bool {
-        let instance = self.instances.entry(result.invoker).or_default();
-        let was_loading = instance.loading_since.is_some();
-        instance.has_load_order = false;
-        instance.loading_since = None;
-        instance.miss_expires_at = 0;
-        instance.is_loaded = result.outcome == LoadOutcome::Loaded;
-        if instance.is_loaded {
-            instance.last_used = instance.last_used.max(now - result.duration);
-            self.longest_load_time = self.longest_load_time.max(result.duration as f64);
+    fn record_load(&mut self, process: ProcessNumber, now: Ticks, result: &LoadResult) -> bool {
+        let is_loaded = result.outcome == LoadOutcome::Loaded;
+        let load_state = self.load_state_mut(process);
+        let was_loading = load_state.loading_since.is_some();
+        load_state.loading_since = None;
+        load_state.is_loaded = is_loaded;
+        load_state.is_own_load &= is_loaded;
+        self.has_load_order = false;
+        self.miss_expires_at = 0;
+        if is_loaded {
+            self.last_used = self.last_used.max(now - result.duration);
         } else {
             let was_sent = result.outcome != LoadOutcome::NotSent;
             let cooldown = if was_sent {
@@ -203,8 +216,7 @@
             } else {
                 HEALTH_CHECK_INTERVAL
             };
-            instance.load_cooldown_until = now + cooldown;
-            instance.is_own_load = false;
+            self.load_cooldown_until = now + cooldown;
         }
         was_loading
     }
--- a/src/policy/observe.rs
+++ b/src/policy/observe.rs
@@ -37,7 +37,7 @@
             unproven_functions: functions().filter(|f| !f.is_proven()).count(),
             evicted_functions: bound.evicted,
             untracked_invocations: bound.rejected,
-            instances: self.loads.instances.len(),
+            instances: self.loads.processes.instances(),
             ranked: functions().map(|f| f.ranking.len()).sum(),
             invocations: self.invocations.len(),
             timers: self.timers.len(),
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -49,13 +49,13 @@
         let now = self.now;
         let invoker_id = attempt.invoker;
         let fleet_slowdown = self.fleet.current_slowdown(now);
-        let Some((function, invoker)) = self.function_and_invoker(request.function, invoker_id)
-        else {
+        let Some(target) = self.attempt_target(request.function, invoker_id) else {
             return;
         };
-        let load_time = function.load_time();
+        let invoker = target.invoker;
+        let load_time = target.function.load_time();
         let invoker_slowdown = invoker.current_slowdown(now, fleet_slowdown);
-        let instance = function.instances.entry(invoker_id).or_default();
+        let instance = target.function.track_instance(invoker_id, target.processes);
         invoker.in_flight -= 1;
         instance.in_flight -= 1;
         if let Some(concurrency) = result.concurrency {
@@ -133,19 +133,21 @@
     ) {
         let now = self.now;
         let duration = result.duration as f64;
-        let Some((function, invoker)) =
-            self.function_and_invoker(request.function, attempt.invoker)
-        else {
+        let Some(target) = self.attempt_target(request.function, attempt.invoker) else {
             return;
         };
+        let invoker = target.invoker;
         invoker.ejected_until = 0;
         invoker.ejection_time = 0;
         invoker
             .rejections
             .remove(&(request.tenant, request.trigger));
-        let instance = function.instances.entry(attempt.invoker).or_default();
-        instance.is_loaded = true;
-        instance.loading_since = None;
+        let process = target.processes.number(attempt.invoker);
+        let function = target.function;
+        let instance = function.track_instance(attempt.invoker, target.processes);
+        let load_state = instance.load_state_mut(process);
+        load_state.is_loaded = true;
+        load_state.loading_since = None;
         let was_warm = match result.start_kind {
             Some(start_kind) => start_kind == StartKind::Warm,
             None => attempt.expects_instance,
@@ -214,28 +216,31 @@
     /// Records a failure that concerns only the invoker or the instance.
     fn record_failure(&mut self, request: &Invocation, attempt: &Attempt, result: &AttemptResult) {
         let now = self.now;
-        let Some((function, invoker)) =
-            self.function_and_invoker(request.function, attempt.invoker)
-        else {
+        let Some(target) = self.attempt_target(request.function, attempt.invoker) else {
             return;
         };
+        let invoker = target.invoker;
         let is_outlier = invoker.error_rate > OUTLIER_ERROR_RATE;
-        let instance = function.instances.entry(attempt.invoker).or_default();
+        let process = target.processes.number(attempt.invoker);
+        let instance = target
+            .function
+            .track_instance(attempt.invoker, target.processes);
         match result.outcome {
             // A single reset may concern one connection only. If the process died, all connections are reset, or the
             // next connection is refused.
             Outcome::Reset if is_outlier => {
                 invoker.eject(now);
-                self.forget_instances(attempt.invoker);
+                target.processes.ended(attempt.invoker);
             }
             Outcome::Errored if result.start_kind == Some(StartKind::LoadFailed) => {
-                instance.loading_since = None;
+                instance.load_state_mut(process).loading_since = None;
                 instance.load_cooldown_until = now + LOAD_COOLDOWN;
             }
             Outcome::Errored if is_outlier => invoker.eject(now),
             Outcome::Miss => {
-                instance.is_loaded = false;
-                instance.loading_since = None;
+                let load_state = instance.load_state_mut(process);
+                load_state.is_loaded = false;
+                load_state.loading_since = None;
                 instance.miss_expires_at = now + MISS_EXPIRY;
             }
             Outcome::NoConnection => invoker.record_unreachable(now, result.duration),
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,8 +1,9 @@
 //! Placement: selects the invoker for an invocation. This is the invoker with the earliest expected finish in the
 //! function's pool, or further down the ranking if all invokers of the pool exceed their target load.
 
-use super::functions::{FunctionState, Instance};
+use super::functions::FunctionState;
 use super::health::CONGESTION_THRESHOLD;
+use super::instances::Instance;
 use super::invocations::InvocationState;
 use super::invokers::InvokerState;
 use super::{DispatchPolicy, TriggerStats};
@@ -124,7 +125,8 @@
         let state = &self.invocations[&id];
         let function = &self.functions[&state.request.function];
         let trigger = &self.triggers[state.request.trigger];
-        let keep_alive = self.deployment.keep_alive;
+        let is_warm =
+            |(invoker, instance): (&InvokerId, &Instance)| self.is_warm(*invoker, Some(instance));
         PlacementRequest {
             state,
             function,
@@ -134,10 +136,7 @@
             fleet_slowdown: self.fleet.current_slowdown(self.now),
             has_attempts_left: state.attempts < self.deployment.attempt_limit
                 && state.in_flight.is_none(),
-            is_warm_anywhere: function
-                .instances
-                .values()
-                .any(|instance| instance.is_warm(self.now, keep_alive)),
+            is_warm_anywhere: function.instances.iter().any(is_warm),
         }
     }
 
@@ -151,8 +150,7 @@
         let now = self.now;
         let invoker_id = invoker.record.invoker;
         let invocation = &request.state.request;
-        let is_warm =
-            instance.is_some_and(|instance| instance.is_warm(now, self.deployment.keep_alive));
+        let is_warm = self.is_warm(invoker_id, instance);
         let is_loading_blocked = !self.deployment.reports_misses && self.loads.breaker.is_open(now);
         let is_cooling_down = instance.is_some_and(|instance| now < instance.load_cooldown_until);
         if !is_warm && (is_loading_blocked || is_cooling_down) {
@@ -193,12 +191,17 @@
     ) {
         let now = self.now;
         let (function, run_time) = (request.function, request.mean_run_time);
-        let is_warm =
-            instance.is_some_and(|instance| instance.is_warm(now, self.deployment.keep_alive));
+        let is_warm = self.is_warm(invoker.record.invoker, instance);
+        let process = self.loads.processes.number(invoker.record.invoker);
+        let load_state = instance.map(|instance| instance.load_state(process));
+        let load_state = load_state.unwrap_or_default();
         let concurrency = instance.map_or(0.0, |instance| instance.concurrency(now));
-        let load_time = self.expected_load_time(request, instance, is_warm);
-        let is_state_unknown =
-            is_in_pool && instance.is_none_or(|instance| instance.loading_since.is_none());
+        let load_time = if is_warm || self.may_miss(request, instance) {
+            0.0
+        } else {
+            function.remaining_load_time(load_state, now)
+        };
+        let is_state_unknown = is_in_pool && load_state.loading_since.is_none();
         let load_probability = if is_state_unknown {
             self.loads.absence_rate
         } else {
@@ -228,21 +231,19 @@
         });
     }
 
-    /// Expected load time at an invoker, in ticks. Where a miss costs only a short delay and an attempt, the first
-    /// attempt treats an instance of unknown state like a loaded one.
-    fn expected_load_time(
-        &self,
-        request: &PlacementRequest,
-        instance: Option<&Instance>,
-        is_warm: bool,
-    ) -> f64 {
+    /// Whether an instance is expected to be loaded at an invoker.
+    fn is_warm(&self, invoker: InvokerId, instance: Option<&Instance>) -> bool {
+        let (now, keep_alive) = (self.now, self.deployment.keep_alive);
+        let process = self.loads.processes.number(invoker);
+        instance.is_some_and(|instance| instance.is_warm(process, now, keep_alive))
+    }
+
+    /// Whether an instance of unknown state is treated like a loaded one: by the first attempt, where a miss costs only a
+    /// short delay and an attempt.
+    fn may_miss(&self, request: &PlacementRequest, instance: Option<&Instance>) -> bool {
         let missed_recently = instance.is_some_and(|instance| self.now < instance.miss_expires_at);
         let is_first = request.state.attempts == 0;
-        let may_miss = request.is_warm_anywhere && is_first && !missed_recently;
-        if is_warm || (may_miss && self.deployment.reports_misses) {
-            return 0.0;
-        }
-        request.function.remaining_load_time(instance, self.now)
+        self.deployment.reports_misses && request.is_warm_anywhere && is_first && !missed_recently
     }
 
     /// Selects the candidate with the earliest expected finish, and breaks ties randomly.
@@ -277,9 +278,10 @@
         let missed_recently = instance.is_some_and(|instance| self.now < instance.miss_expires_at);
         let is_absent = self.deployment.reports_misses && !chosen.is_warm && missed_recently;
         if chosen.has_pending_load || (is_absent && self.deployment.may_load) {
+            let load_state = function.load_state(chosen.invoker, &self.loads.processes);
             return Placement::AwaitLoad {
                 invoker: chosen.invoker,
-                load_time: function.remaining_load_time(instance, self.now) as Ticks,
+                load_time: function.remaining_load_time(load_state, self.now) as Ticks,
                 response_time: chosen.response_time as Ticks,
             };
         }
--- a/src/policy/pool_sizing.rs
+++ b/src/policy/pool_sizing.rs
@@ -5,6 +5,7 @@
 use super::functions::FunctionState;
 use super::loads::MIN_DWELL;
 use super::placement::RANKED_BEYOND_POOL;
+use super::processes::ProcessNumber;
 use super::ranking::{Ranked, weight};
 use super::scans::ScanPurpose;
 use super::unloads::UnloadCandidates;
@@ -186,7 +187,10 @@
     ) {
         let (now, keep_alive) = (self.now, self.deployment.keep_alive);
         let function = self.functions.get(&function_id);
-        if !function.is_some_and(|function| function.needs_load(ranked, now, keep_alive)) {
+        let process = self.loads.processes.number(ranked.invoker);
+        let needs_load =
+            |function: &FunctionState| function.needs_load(ranked, process, now, keep_alive);
+        if !function.is_some_and(needs_load) {
             return;
         }
         if !self.may_send_new_work(ranked.invoker) {
@@ -287,15 +291,21 @@
     }
 
     /// Whether an invoker of the pool lacks an instance, or its instance is about to expire.
-    fn needs_load(&self, ranked: Ranked, now: Ticks, keep_alive: Ticks) -> bool {
+    fn needs_load(
+        &self,
+        ranked: Ranked,
+        process: ProcessNumber,
+        now: Ticks,
+        keep_alive: Ticks,
+    ) -> bool {
         let Some(instance) = self.instances.get(&ranked.invoker) else {
             return true;
         };
         if instance.has_load_order {
             return false;
         }
-        if !instance.is_warm(now, keep_alive) {
-            return instance.loading_since.is_none();
+        if !instance.is_warm(process, now, keep_alive) {
+            return instance.load_state(process).loading_since.is_none();
         }
         let renewal_age = (keep_alive as f64 * RENEWAL_SHARE) as Ticks;
         instance.in_flight == 0 && now >= instance.last_used + renewal_age
--- a/src/policy/scans.rs
+++ b/src/policy/scans.rs
@@ -8,8 +8,6 @@
 pub(super) enum ScanPurpose {
     /// To find the instances to unload before a load.
     Unload,
-    /// To forget the instances of an invoker whose process has ended.
-    Restart,
     /// To expire entries, and to size and fill the pools, in a timer.
     Timer,
 }
@@ -32,7 +30,6 @@
         let entries = entries as u64;
         let count = match purpose {
             ScanPurpose::Unload => &mut self.counts.unload,
-            ScanPurpose::Restart => &mut self.counts.restart,
             ScanPurpose::Timer => &mut self.counts.timers,
         };
         *count += entries;
--- a/src/policy/unloads.rs
+++ b/src/policy/unloads.rs
@@ -3,22 +3,31 @@
 //! only the instances that it unloads, however many functions are known at the invoker.
 
 use super::DispatchPolicy;
-use super::functions::Instance;
+use super::instances::{Instance, LoadState};
 use super::loads::MIN_DWELL;
+use super::processes::ProcessNumber;
 use super::scans::ScanPurpose;
 use crate::interface::{Actions, FunctionId, InvokerId, Ticks};
 use std::collections::BTreeSet;
 
+/// The order of the candidates at an invoker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct CandidateKey {
+    /// The process that loaded the instance. Candidates of former processes are never unloaded.
+    pub process: ProcessNumber,
+    /// Since when the instance is unused.
+    pub unused_since: Ticks,
+}
+
 /// The idle instances outside their pool that this controller loaded.
 #[derive(Default)]
 pub(super) struct UnloadCandidates {
-    /// Each with its invoker, and since when it is unused.
-    by_age: BTreeSet<(InvokerId, Ticks, FunctionId)>,
+    by_age: BTreeSet<(InvokerId, CandidateKey, FunctionId)>,
 }
 
 impl UnloadCandidates {
     /// Memory of one entry, in bytes.
-    pub(super) const ENTRY_BYTES: usize = size_of::<(InvokerId, Ticks, FunctionId)>();
+    pub(super) const ENTRY_BYTES: usize = size_of::<(InvokerId, CandidateKey, FunctionId)>();
 
     /// Updates whether an instance is a candidate, after a change of its state.
     pub(super) fn update(
@@ -27,31 +36,36 @@
         function: FunctionId,
         instance: &mut Instance,
     ) {
-        let unused_since = instance.unloadable_since();
-        if unused_since == instance.candidate_since {
+        let key = instance.unload_key();
+        if key == instance.candidate_key {
             return;
         }
         self.remove(invoker, function, instance);
-        instance.candidate_since = unused_since;
-        self.by_age
-            .extend(unused_since.map(|since| (invoker, since, function)));
+        instance.candidate_key = key;
+        self.by_age.extend(key.map(|key| (invoker, key, function)));
     }
 
     /// Removes an instance that is no longer tracked.
     pub(super) fn remove(&mut self, invoker: InvokerId, function: FunctionId, instance: &Instance) {
-        if let Some(since) = instance.candidate_since {
-            self.by_age.remove(&(invoker, since, function));
+        if let Some(key) = instance.candidate_key {
+            self.by_age.remove(&(invoker, key, function));
         }
     }
 
-    /// The functions of the candidates at an invoker that are unused since `since` at the latest, ascending.
-    fn unused_since(&self, invoker: InvokerId, since: Ticks) -> Vec<FunctionId> {
-        let range = (invoker, 0, 0)..=(invoker, since, FunctionId::MAX);
-        let mut functions: Vec<FunctionId> = self
-            .by_age
-            .range(range)
-            .map(|(_, _, function)| *function)
-            .collect();
+    /// The functions of the candidates in a process of an invoker that are unused since `since` at the latest, ascending.
+    fn unused_since(
+        &self,
+        invoker: InvokerId,
+        process: ProcessNumber,
+        since: Ticks,
+    ) -> Vec<FunctionId> {
+        let key = |unused_since| CandidateKey {
+            process,
+            unused_since,
+        };
+        let range = (invoker, key(0), 0)..=(invoker, key(since), FunctionId::MAX);
+        let in_range = self.by_age.range(range);
+        let mut functions: Vec<FunctionId> = in_range.map(|(_, _, function)| *function).collect();
         functions.sort_unstable();
         functions
     }
@@ -72,7 +86,8 @@
             return;
         }
         let candidates = &self.loads.unload_candidates;
-        let stale = candidates.unused_since(invoker_id, stale_since);
+        let process = self.loads.processes.number(invoker_id);
+        let stale = candidates.unused_since(invoker_id, process, stale_since);
         self.scans.record(ScanPurpose::Unload, stale.len());
         for function_id in stale {
             if function_id != loading {
@@ -92,8 +107,12 @@
         let Some(instance) = instance else {
             return;
         };
-        instance.is_loaded = false;
-        instance.is_own_load = false;
+        let process = self.loads.processes.number(invoker_id);
+        *instance.load_state_mut(process) = LoadState {
+            is_loaded: false,
+            is_own_load: false,
+            ..instance.load_state(process)
+        };
         self.update_unload_candidate(invoker_id, function_id);
         actions.unload(invoker_id, function_id);
     }
--- a/src/policy/unproven_functions.rs
+++ b/src/policy/unproven_functions.rs
@@ -118,8 +118,7 @@
         };
         self.unproven.remove(id, &function);
         for (invoker, instance) in &function.instances {
-            self.loads.instances.remove(&(*invoker, id));
-            self.loads.unload_candidates.remove(*invoker, id, instance);
+            self.loads.instance_removed(*invoker, id, instance);
         }
     }
 
--- a/tests/step_cost.rs
+++ b/tests/step_cost.rs
@@ -1,8 +1,11 @@
 //! What one event makes the policy examine does not grow with the number of functions, whether they exist or not. The
 //! policy counts the entries that it examines one after the other.
 
+#[path = "support/controller.rs"]
+mod controller;
 mod support;
 
+use controller::{Controller, INVOKERS, allocated_during, small_controller};
 use saltdrum::interface::*;
 use support::*;
 
@@ -68,3 +71,76 @@
     assert!(unloads > 0 && unloads <= loaded, "{unloads} of {loaded}");
     assert_eq!(bed.policy.table_sizes().scanned.unload, unloads);
 }
+
+/// A controller to which each function has been served by an invoker that loaded it.
+fn controller_with(functions: u64) -> Controller {
+    let mut controller = small_controller(false);
+    for function in 1..=functions {
+        controller.invoke(function << 20);
+        assert!(controller.end_attempt(Outcome::Succeeded, false));
+    }
+    controller
+}
+
+/// The most bytes that are allocated in one event in which an invoker with attempts in flight resets a connection.
+fn most_allocated_at_a_reset(functions: u64) -> usize {
+    let mut controller = controller_with(functions);
+    let mut in_flight = Vec::new();
+    for function in 1..=50 * u64::from(INVOKERS) {
+        controller.invoke(function << 20);
+        in_flight.extend(controller.host.dispatched.take());
+    }
+    let resetting = in_flight[0].1;
+    in_flight.retain(|(_, invoker)| *invoker == resetting);
+    assert!(in_flight.len() > 20, "{} in flight", in_flight.len());
+    let resets = in_flight.into_iter().map(|(id, invoker)| {
+        allocated_during(|| controller.end_first_attempt(id, invoker, Outcome::Reset))
+    });
+    resets.max().unwrap_or(0)
+}
+
+/// The bytes that are allocated in the event that reports the restart of an invoker.
+fn allocated_at_a_restart(functions: u64) -> usize {
+    let mut controller = controller_with(functions);
+    let record = invoker_record(1, InvokerStatus::Ready, Some(controller.now));
+    let now = controller.now;
+    allocated_during(|| controller.policy.invokers_changed(now, false, &[record]))
+}
+
+/// Guards against a walk through all functions known at an invoker for each connection that it resets, and for each
+/// restart: the requests that were in flight at an invoker that died made the controller walk once each.
+#[test]
+fn the_end_of_a_process_does_not_examine_the_functions_loaded_there() {
+    for allocated in [most_allocated_at_a_reset, allocated_at_a_restart] {
+        let (few, many) = (allocated(1_200), allocated(24_000));
+        assert!(
+            many <= 2 * few,
+            "{few} bytes allocated with 1,200 functions, {many} with 24,000"
+        );
+    }
+}
+
+/// Each restart of an invoker makes the instances there cold: its pools are filled again.
+#[test]
+fn the_end_of_a_process_makes_its_instances_cold() {
+    let mut bed = test_bed();
+    let id = bed.invoke(0, 1 << 20, CLIENT_TIMEOUT);
+    let invoker = bed.checker.invocations[&id].attempts[0].invoker;
+    bed.end_attempt(id, 0, Outcome::Succeeded, Some(StartKind::Warm));
+    let loads_at = |bed: &TestBed| {
+        let loads = bed.checker.loads.iter();
+        loads.filter(|load| load.0 == invoker).count()
+    };
+    bed.advance(2 * SECOND);
+    assert_eq!(loads_at(&bed), 0, "a warm instance was loaded");
+    for restart in 0..3 {
+        let started_at = Some(bed.checker.now);
+        let record = invoker_record(invoker, InvokerStatus::Ready, started_at);
+        bed.update_endpoint_list(false, &[record]);
+        bed.advance(2 * SECOND);
+        assert_eq!(loads_at(&bed), 1, "restart {restart}");
+        bed.end_load(0, LoadOutcome::Loaded);
+        bed.advance(2 * SECOND);
+        assert_eq!(loads_at(&bed), 0, "restart {restart}: loaded twice");
+    }
+}
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -18,15 +18,17 @@
 
 thread_local! {
     static LIVE_BYTES: Cell<usize> = const { Cell::new(0) };
+    static ALLOCATED_BYTES: Cell<usize> = const { Cell::new(0) };
 }
 
-/// Counts the bytes that the current thread has allocated and not freed.
+/// Counts the bytes that the current thread has allocated, in total and without those that it has freed.
 struct CountingAllocator;
 
 // SAFETY: every call is passed on to the system's allocator unchanged.
 unsafe impl GlobalAlloc for CountingAllocator {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
         LIVE_BYTES.set(LIVE_BYTES.get().wrapping_add(layout.size()));
+        ALLOCATED_BYTES.set(ALLOCATED_BYTES.get().wrapping_add(layout.size()));
         unsafe { System.alloc(layout) }
     }
 
@@ -39,6 +41,13 @@
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
 
+/// The bytes that the current thread allocates during `event`, in total.
+pub(crate) fn allocated_during(event: impl FnOnce()) -> usize {
+    let before = ALLOCATED_BYTES.get();
+    event();
+    ALLOCATED_BYTES.get().wrapping_sub(before)
+}
+
 /// A host that keeps nothing but what it has to report to the policy next.
 #[derive(Default)]
 pub(crate) struct Host {
@@ -142,6 +151,18 @@
         true
     }
 
+    /// Ends the first attempt of an invocation at an invoker.
+    pub(crate) fn end_first_attempt(
+        &mut self,
+        invocation: InvocationId,
+        invoker: InvokerId,
+        outcome: Outcome,
+    ) {
+        self.host.dispatched = Some((invocation, invoker));
+        self.host.attempts = 1;
+        self.end_attempt(outcome, false);
+    }
+
     pub(crate) fn abandon(&mut self, id: InvocationId) {
         self.policy
             .invocation_abandoned(self.now, id, &mut self.host);
