Expire entries, size pools and fill them in turns of a bounded number of entries

What callers saw: late answers.

Cause: size_pools looked at all functions three times and sorted their demands in one event, each second; each of the five health checks after it filled a fifth of all pools.

Change: sizing_rounds.rs passes through the functions in turns of 4,000 entries, 1 ms apart; pools are filled in such turns (pool_filling.rs, split from pool_sizing.rs). It works because other events are handled between turns, and each turn stops at its count. 4,000: no event may take over 10 ms, and an entry costs up to 1 us.

Test: no_timer_examines_more_than_a_turn failed before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,12 +11,14 @@
 //! # Module overview
 //!
 //! On the usual path, `pool_sizing` decides each second how many invokers the pool of a function has, `ranking` which
-//! invokers these are, `placement` selects the invoker with the earliest expected finish, and `loads` orders the loads
-//! that keep the pool loaded. `retries` and `admission` decide whether an invocation without a response is retried or
-//! rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
-//! endpoint list is unreachable. `load_budget` and `load_breaker` limit load orders, `unloads` makes room for loads. `outcomes` updates the estimates
-//! of `estimates` from the results of attempts. `waits` ends with an invocation all that it waits for, `expiry` removes
-//! what is no longer needed, and `unproven_functions` bounds the state of functions that may not exist.
+//! invokers these are, `placement` selects the invoker with the earliest expected finish, and `pool_filling` orders the
+//! loads that keep the pool loaded. `retries` and `admission` decide whether an invocation without a response is retried
+//! or rejected. `health` and `slow_start` decide which invokers may receive work, and `readiness` which may while the
+//! endpoint list is unreachable. `loads` issues load orders, `load_budget` and `load_breaker` limit them, and `unloads`
+//! makes room for them. `outcomes` updates the estimates of `estimates` from the results of attempts. `waits` ends with
+//! an invocation all that it waits for, `expiry` removes what is no longer needed, and `unproven_functions` bounds the
+//! state of functions that may not exist. `sizing_rounds` passes through all functions in turns, and `scans` counts what
+//! is examined.
 //! `docs/design.md` gives the reasons.
 //!
 //! [`invokers_changed`]: DispatchPolicy::invokers_changed
@@ -44,12 +46,14 @@
 mod observe;
 mod outcomes;
 mod placement;
+mod pool_filling;
 mod pool_sizing;
 mod processes;
 mod ranking;
 mod readiness;
 mod retries;
 mod scans;
+mod sizing_rounds;
 mod slow_start;
 mod timers;
 mod unloads;
@@ -65,10 +69,11 @@
 use invocations::InvocationState;
 use invokers::InvokerState;
 use loads::Loads;
-use pool_sizing::PoolSizing;
+use pool_filling::PoolFilling;
 use ranking::ReadyInvokers;
 use readiness::EndpointListFreshness;
 use scans::ScanCounter;
+use sizing_rounds::SizingRound;
 use slow_start::CompletedWork;
 use std::collections::BTreeMap;
 use timers::Timers;
@@ -119,7 +124,9 @@
     timers: Timers,
     fleet: FleetHealth,
     loads: Loads,
-    pools: PoolSizing,
+    pools: PoolFilling,
+    /// The round of expiry and pool sizing in progress.
+    sizing_round: Option<SizingRound>,
     completed_work: CompletedWork,
     scans: ScanCounter,
 }
@@ -128,7 +135,7 @@
     /// Creates the policy of a controller that knows only its configuration. `seed` determines its random choices.
     pub fn new(now: Ticks, deployment: Deployment, seed: u64, actions: &mut dyn Actions) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let pools = PoolSizing::new(rng.f64());
+        let pools = PoolFilling::new(rng.f64());
         let mut policy = Self {
             now,
             resumed_at: 0,
@@ -151,6 +158,7 @@
             fleet: FleetHealth::new(now),
             loads: Loads::default(),
             pools,
+            sizing_round: None,
             completed_work: CompletedWork::default(),
             scans: ScanCounter::default(),
         };
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -4,54 +4,56 @@
 use super::functions::FunctionState;
 use super::instances::Instance;
 use super::invokers::InvokerState;
+use super::loads::Loads;
 use super::pool_sizing::IDLE_FUNCTION_TIMEOUT;
 use super::processes::ProcessNumber;
-use super::scans::ScanPurpose;
-use crate::interface::{InvokerStatus, Ticks};
+use super::sizing_rounds::{TurnBudget, ids_after};
+use crate::interface::{Actions, FunctionId, InvokerStatus, Ticks};
 
 /// Number of keep-alive times for which an instance that this controller loaded may stay loaded.
 const OWN_INSTANCE_KEEP_ALIVES: Ticks = 3;
 
 impl DispatchPolicy {
-    /// Removes all entries that are no longer needed.
-    pub(super) fn forget_unused(&mut self) {
-        self.forget_unused_instances();
-        self.forget_unused_functions();
-        self.forget_gone_invokers();
-        self.loads
-            .budget
-            .forget_expired(self.now, self.deployment.load_window);
-    }
-
-    fn forget_unused_instances(&mut self) {
+    /// Removes the functions after `after`, and their instances, that are no longer needed, as far as the budget allows.
+    /// Returns the last function handled, or none at the end.
+    pub(super) fn expire_functions(
+        &mut self,
+        after: Option<FunctionId>,
+        budget: &mut TurnBudget,
+    ) -> Option<FunctionId> {
         let (now, keep_alive) = (self.now, self.deployment.keep_alive);
-        let loads = &mut self.loads;
-        for (function_id, function) in &mut self.functions {
-            self.scans
-                .record(ScanPurpose::Timer, 1 + function.instances.len());
-            function.instances.retain(|invoker_id, instance| {
-                let process = loads.processes.number(*invoker_id);
-                let is_retained = instance.is_retained(process, now, keep_alive);
-                if !is_retained {
-                    loads.instance_removed(*invoker_id, *function_id, instance);
-                }
-                is_retained
-            });
+        let longest_timeout = self.longest_client_timeout();
+        let (mut last_handled, mut expired) = (after, Vec::new());
+        let mut stopped_at = None;
+        for (function_id, function) in self.functions.range_mut(ids_after(after)) {
+            if budget.is_exhausted() {
+                stopped_at = last_handled;
+                break;
+            }
+            last_handled = Some(*function_id);
+            budget.examined += 1 + function.instances.len();
+            function.expire_instances(*function_id, now, keep_alive, &mut self.loads);
             self.unproven.update(*function_id, function, now);
+            if !function.is_retained(now, longest_timeout) {
+                expired.push(*function_id);
+            }
+        }
+        for function_id in expired {
+            if let Some(function) = self.functions.remove(&function_id) {
+                self.unproven.remove(function_id, &function);
+            }
         }
+        stopped_at
     }
 
-    fn forget_unused_functions(&mut self) {
-        let (now, longest_timeout) = (self.now, self.longest_client_timeout());
-        self.scans.record(ScanPurpose::Timer, self.functions.len());
-        self.functions.retain(|function_id, function| {
-            let is_retained = function.is_retained(now, longest_timeout);
-            if !is_retained {
-                self.unproven.remove(*function_id, function);
-            }
-            is_retained
-        });
+    /// Removes all other entries that are no longer needed, after the functions.
+    pub(super) fn end_expiry(&mut self, actions: &mut dyn Actions) {
         self.evict_excess_functions(0);
+        self.forget_gone_invokers();
+        self.loads
+            .budget
+            .forget_expired(self.now, self.deployment.load_window);
+        self.log_function_bound(actions);
     }
 
     /// Removes invokers that are gone, as the id of such an invoker is not reused.
@@ -92,6 +94,24 @@
 }
 
 impl FunctionState {
+    /// Removes the instances that are no longer needed.
+    fn expire_instances(
+        &mut self,
+        id: FunctionId,
+        now: Ticks,
+        keep_alive: Ticks,
+        loads: &mut Loads,
+    ) {
+        self.instances.retain(|invoker_id, instance| {
+            let process = loads.processes.number(*invoker_id);
+            let is_retained = instance.is_retained(process, now, keep_alive);
+            if !is_retained {
+                loads.instance_removed(*invoker_id, id, instance);
+            }
+            is_retained
+        });
+    }
+
     /// Whether the function is retained in the tables.
     fn is_retained(&self, now: Ticks, longest_timeout: Ticks) -> bool {
         let expires_at = self.last_called + IDLE_FUNCTION_TIMEOUT + longest_timeout;
--- a/tests/step_cost.rs
+++ b/tests/step_cost.rs
@@ -11,6 +11,9 @@
 
 /// More functions than a turn examines.
 const FUNCTIONS: u64 = 3_000;
+const MANY_FUNCTIONS: u64 = 24_000;
+/// No event may take longer than 10 ms; an entry is examined within a microsecond.
+const MAX_ENTRIES_PER_EVENT: u64 = 10_000;
 const CLIENT_TIMEOUT: Ticks = 4 * SECOND;
 
 /// Invokers that load functions by themselves.
@@ -82,6 +85,33 @@
     controller
 }
 
+/// Advances the clock in steps of a millisecond, so that each timer fires in its turn.
+fn advance(controller: &mut Controller, duration: Ticks) {
+    for _ in 0..duration / MILLISECOND {
+        controller.advance(MILLISECOND);
+    }
+}
+
+/// Guards against timers that walk through all functions in one event: with some tens of thousands of functions the
+/// controller had no turn for tens of milliseconds, each second.
+#[test]
+fn no_timer_examines_more_than_a_turn() {
+    let mut controller = controller_with(MANY_FUNCTIONS);
+    for _ in 0..2 {
+        let before = controller.policy.table_sizes().scanned.timers;
+        advance(&mut controller, 3 * SECOND);
+        let sizes = controller.policy.table_sizes();
+        let examined = sizes.scanned.timers - before;
+        assert!(examined > MANY_FUNCTIONS, "not all functions: {sizes:?}");
+        let longest = sizes.scanned.longest_event;
+        assert!(longest <= MAX_ENTRIES_PER_EVENT, "{sizes:?}");
+    }
+    // The turns come to an end: everything expires.
+    advance(&mut controller, 60 * SECOND);
+    let sizes = controller.policy.table_sizes();
+    assert_eq!((sizes.functions, sizes.instances), (0, 0), "{sizes:?}");
+}
+
 /// The most bytes that are allocated in one event in which an invoker with attempts in flight resets a connection.
 fn most_allocated_at_a_reset(functions: u64) -> usize {
     let mut controller = controller_with(functions);
@@ -112,10 +142,10 @@
 #[test]
 fn the_end_of_a_process_does_not_examine_the_functions_loaded_there() {
     for allocated in [most_allocated_at_a_reset, allocated_at_a_restart] {
-        let (few, many) = (allocated(1_200), allocated(24_000));
+        let (few, many) = (allocated(1_200), allocated(MANY_FUNCTIONS));
         assert!(
             many <= 2 * few,
-            "{few} bytes allocated with 1,200 functions, {many} with 24,000"
+            "{few} bytes allocated with 1,200 functions, {many} with {MANY_FUNCTIONS}"
         );
     }
 }
