Estimate the memory of a function without the index of instances that is gone

Found on rereading: the estimate still counted an entry of the index by invoker, which went with the walks. All tests of the module pass.

--- a/src/policy/functions.rs
+++ b/src/policy/functions.rs
@@ -62,8 +62,7 @@
         let nodes = instances.div_ceil(TREE_NODE_MIN_ENTRIES);
         // The table of functions, the candidates to unload and the queues hold up to twice the size of their entries.
         let table_bytes = 2 * size_of::<(FunctionId, Self)>();
-        let index_bytes =
-            2 * instances * (size_of::<(InvokerId, FunctionId)>() + UnloadCandidates::ENTRY_BYTES);
+        let index_bytes = 2 * instances * UnloadCandidates::ENTRY_BYTES;
         table_bytes + index_bytes + nodes * node_bytes + ranking_bytes
     }
 
