--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -2,10 +2,10 @@
 
 mod node_peers;
 
+use node_peers::bad_clients::take_back_requests;
 use node_peers::{
-    ProcessGuard, configuration, connect, frame, free_address, node_command, read_frame,
-    request_frame, request_frame_for, start_feed, start_invoker_of,
-    start_invoker_that_loads_forever, write,
+    ProcessGuard, configuration, connect, free_address, node_command, read_frame, request_frame,
+    start_feed, start_invoker_of, start_invoker_that_loads_forever, write,
 };
 use serde_json::json;
 use std::io::Write;
@@ -16,12 +16,6 @@
 const MEMORY_MB: u64 = 32;
 /// The function that the invoker knows. It knows no other.
 const KNOWN_FUNCTION: u64 = 0xf1;
-/// Requests of one bad client. Each is taken back at once.
-const REQUESTS_PER_CLIENT: u32 = 900;
-/// Types of the frames that take a request back, ask whether the controller is ready, and answer that.
-const CANCEL: u8 = 18;
-const READINESS_QUERY: u8 = 32;
-const READINESS: u8 = 33;
 /// Type of an answer to a request, and the code of a success in it.
 const RESPONSE: u8 = 17;
 const SUCCEEDED: u8 = 79;
@@ -45,20 +39,6 @@
         / 1_024
 }
 
-/// A client that takes back hundreds of requests at once, and reads what it is sent until all are handled.
-fn take_back_requests(listen: &str, client_number: u64, function_of: impl Fn(u64) -> u64) {
-    let mut client = connect(listen);
-    let mut frames = Vec::new();
-    for stream in 1..=REQUESTS_PER_CLIENT {
-        let txn = (client_number << 32) + u64::from(stream);
-        frames.extend(request_frame_for(stream, txn, function_of(txn), 7_000));
-        frames.extend(frame(CANCEL, stream, &[]));
-    }
-    frames.extend(frame(READINESS_QUERY, REQUESTS_PER_CLIENT + 1, &[]));
-    client.write_all(&frames).unwrap();
-    while read_frame(&mut client).0 != READINESS {}
-}
-
 /// Runs a controller with one invoker.
 struct Running {
     process: ProcessGuard,
--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -4,6 +4,8 @@
 // Each test binary uses only some of these.
 #![allow(dead_code)]
 
+pub mod bad_clients;
+
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
@@ -80,6 +82,20 @@
     })
 }
 
+/// Starts an invoker that loads functions by itself and runs one in this time, and returns its address. It cannot load
+/// others.
+pub fn start_invoker_that_loads_one(function: u64, latency: Duration) -> String {
+    let function = format!("{function:016x}");
+    start_answering_invoker(move |head| {
+        if head.contains(&function) {
+            std::thread::sleep(latency);
+            RUN_ANSWER
+        } else {
+            LOAD_FAILURE_ANSWER
+        }
+    })
+}
+
 /// Starts an invoker that knows no function and whose loads never end, and returns its address.
 pub fn start_invoker_that_loads_forever() -> String {
     start_answering_invoker(|head| {
