Tests: the invoker of the node tests answers health checks at once

Cause: the test sends as soon as the feed is asked, not heard. Until then the controller asks the invoker for its health, for 200 ms at most, and the test's invoker took the 400 ms of a run to answer that. The controller is right; the stand-in was not.

--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -52,16 +52,23 @@
     }
 }
 
-/// The answers of an invoker: a run, a load, and the lack of a function.
+/// The first line of a health check begins with this.
+const HEALTH_CHECK: &str = "GET /healthz";
+/// The answers of an invoker: a run, a health check, the lack of a function, and a load that fails.
 const RUN_ANSWER: &[u8] =
     b"HTTP/1.1 200 OK\r\nX-How: resident\r\nX-Units: 1\r\nContent-Length: 4\r\n\r\ndone";
+const HEALTHY_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const MISS_ANSWER: &[u8] = b"HTTP/1.1 404 Miss\r\nContent-Length: 0\r\n\r\n";
 const LOAD_FAILURE_ANSWER: &[u8] =
     b"HTTP/1.1 500 Error\r\nX-How: boot_error\r\nX-Units: 0\r\nContent-Length: 0\r\n\r\n";
 
-/// Starts an invoker that answers each request after this time, and returns its address.
+/// Starts an invoker that answers each request after this time, and returns its address. Health checks, which precede
+/// requests until the feed is heard, are answered at once.
 pub fn start_invoker(latency: Duration) -> String {
-    start_answering_invoker(move |_| {
+    start_answering_invoker(move |head| {
+        if head.starts_with(HEALTH_CHECK) {
+            return HEALTHY_ANSWER;
+        }
         std::thread::sleep(latency);
         RUN_ANSWER
     })
