Tests: kill the first registry before the second is started on its folder

Cause: the test started the second process and then killed the first one; if the second opens the database in that moment the file is locked, and it exits, rightly.

--- a/crates/cli/tests/disks.rs
+++ b/crates/cli/tests/disks.rs
@@ -226,7 +226,7 @@
             .status
             .success()
     );
-    let mut running = start_on_failing_disk(&site, SERVE);
+    let running = start_on_failing_disk(&site, SERVE);
     assert!(push("v1"));
     site.set_failing(true);
     assert!(!push("v2"), "acknowledged a version that is not on disk");
@@ -240,7 +240,8 @@
         "does not accept versions after the disk recovered"
     );
     site.set_failing(true);
-    drop(std::mem::replace(&mut running, site.start(SERVE)));
+    drop(running);
+    let mut running = site.start(SERVE);
     std::thread::sleep(FAILURE_DURATION);
     site.set_failing(false);
     assert!(
