--- /dev/null
+++ b/review/standins-2/memory.rs
@@ -0,0 +1,129 @@
+//! Bad clients by the hundred: messages that never end behind requests for functions that no invoker knows.
+
+use crate::peers::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::Instant;
+
+/// The least memory that the pages give a controller, and the most descriptors.
+const MEMORY_MB: u64 = 32;
+const SOCKETS: u64 = 1_024;
+/// With the usual clients these are less than a third of the descriptors.
+const BAD_CLIENTS: usize = 320;
+const USUAL_CLIENTS: usize = 8;
+const REQUESTS: u64 = 4;
+const BODY_BYTES: usize = 4_000;
+const WAVES: u64 = 3;
+
+/// One wave: every bad client connects, sends at full speed, reads what it is sent, and leaves when it is closed.
+fn bad_wave(listen: &str, wave: u64, stop: &AtomicBool) -> usize {
+    let mut rng = Rng(0xbad0 + wave);
+    let mut clients: Vec<TcpStream> = (0..BAD_CLIENTS).filter_map(|_| TcpStream::connect(listen).ok()).collect();
+    let connected = clients.len();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let mut bytes = Vec::new();
+        for request_number in 1..=REQUESTS {
+            let txn = format!("{:016x}", (wave << 32) | ((number as u64) << 8) | request_number | (0xbad << 48));
+            let function = format!("{:016x}", rng.next() & 0xff_ffff_ffff | 0x8000_0000_0000);
+            let (class, limit_ms, body) = ("quote-lookup", 4_000, vec![b'x'; BODY_BYTES]);
+            let ask = Ask { class, txn: &txn, limit_ms, function: &function, key: None, body: &body };
+            bytes.extend(request(request_number as u32, &ask));
+        }
+        // A request of 24,000 bytes whose last thousand never comes.
+        bytes.extend(24_000u32.to_be_bytes());
+        bytes.push(16);
+        bytes.extend((REQUESTS as u32 + 1).to_be_bytes());
+        bytes.extend(vec![b'x'; 23_000]);
+        let _ = client.write_all(&bytes);
+        let _ = client.set_nonblocking(true);
+    }
+    let until = Instant::now() + ms(3_000);
+    let mut chunk = vec![0; 64 << 10];
+    while !clients.is_empty() && Instant::now() < until && !stop.load(SeqCst) {
+        clients.retain_mut(|client| match client.read(&mut chunk) {
+            Ok(n) => n > 0,
+            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        });
+        sleep(ms(5));
+    }
+    connected
+}
+
+pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
+    let functions: Vec<String> = (1..=4).map(|n| format!("{n:016x}")).collect();
+    let feed = Feed::start(record);
+    let invokers: Vec<Invoker> = (1..=12).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
+    let settings = settings(true, &class("quote-lookup", "safe", 1_200, 5_000));
+    let start = Start { invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let mut controller = Controller::start(&start, record)?;
+    let process = controller.child.id();
+
+    // The platform: it kills a controller that goes over its limit of memory.
+    let (stop, peak, killed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+    let watching = {
+        let (stop, peak, killed, record) = (stop.clone(), peak.clone(), killed.clone(), record.clone());
+        spawn(move || {
+            while !stop.load(SeqCst) {
+                let used = Controller::memory_kib(process).unwrap_or(0);
+                peak.fetch_max(used, SeqCst);
+                if used > MEMORY_MB * 1_024 && !killed.swap(true, SeqCst) {
+                    record.say(format!("platform: {used} KiB of {} KiB, the controller is killed", MEMORY_MB * 1_024));
+                    let kill = format!("kill -KILL {process}");
+                    let _ = std::process::Command::new("/bin/sh").args(["-c", &kill]).status();
+                    return;
+                }
+                sleep(ms(5));
+            }
+        })
+    };
+    let bad = {
+        let (listen, stop, record) = (controller.listen.clone(), stop.clone(), record.clone());
+        spawn(move || {
+            sleep(ms(3_000));
+            for wave in 1..=WAVES {
+                if !trouble || stop.load(SeqCst) {
+                    return;
+                }
+                record.add(format!("bad clients: wave {wave} of {BAD_CLIENTS} begins"));
+                let connected = bad_wave(&listen, wave, &stop);
+                record.add(format!("bad clients: wave {wave} is over, {connected} had connected"));
+                sleep(ms(1_000));
+            }
+        })
+    };
+
+    // The usual clients ask 20 times a second, together.
+    let mut clients: Vec<Client> = (0..USUAL_CLIENTS).filter_map(|_| Client::connect(&controller.listen, record)).collect();
+    let (mut all, began) = (Vec::new(), Instant::now());
+    for number in 0..300usize {
+        let place = number % USUAL_CLIENTS;
+        if clients[place].is_over.load(SeqCst) {
+            if let Some(client) = Client::connect(&controller.listen, record) {
+                all.push(std::mem::replace(&mut clients[place], client));
+            }
+        }
+        let (txn, function) = (format!("{:016x}", number + 1), &functions[number % functions.len()]);
+        let ask = Ask { class: "quote-lookup", txn: &txn, limit_ms: 4_000, function, key: None, body: b"usual" };
+        clients[place].ask(&ask);
+        if controller.has_ended() {
+            break;
+        }
+        sleep((began + ms(50) * (number as u32 + 1)).saturating_duration_since(Instant::now()));
+    }
+    sleep(ms(4_600));
+    stop.store(true, SeqCst);
+    let ended = controller.has_ended();
+    let _ = watching.join();
+    let _ = bad.join();
+    all.extend(clients);
+    let sent: Vec<Sent> = all.iter().flat_map(|c| c.sent.lock().unwrap().values().cloned().collect::<Vec<_>>()).collect();
+    let unanswered = sent.iter().filter(|s| s.answers.is_empty()).count();
+    record.say(format!(
+        "{} usual requests, {unanswered} without an answer; most memory {} KiB of {} KiB; killed for memory: {}; ended: {ended}",
+        sent.len(), peak.load(SeqCst), MEMORY_MB * 1_024, killed.load(SeqCst)
+    ));
+    Ok(killed.load(SeqCst) || ended || unanswered > 0)
+}
