--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -26,6 +26,7 @@
     });
     let result = match case.as_str() {
         "memory" => memory::run(&record, trouble),
+        "spoilt" => memory::run_spoilt(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -1,4 +1,4 @@
-//! Bad clients by the hundred: messages that never end behind requests for functions that no invoker knows.
+//! A controller stays within its limit of memory: with bad clients by the hundred, and with spoilt answers of invokers.
 
 use crate::peers::*;
 use std::io::{Read, Write};
@@ -52,6 +52,7 @@
     connected
 }
 
+/// The usual clients ask 20 times a second; from the third second on the bad clients come in waves.
 pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
     let functions: Vec<String> = (1..=4).map(|n| format!("{n:016x}")).collect();
     let feed = Feed::start(record);
@@ -61,26 +62,9 @@
     let mut controller = Controller::start(&start, record)?;
     let process = controller.child.id();
 
-    // The platform: it kills a controller that goes over its limit of memory.
-    let (stop, peak, killed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-    let watching = {
-        let (stop, peak, killed, record) = (stop.clone(), peak.clone(), killed.clone(), record.clone());
-        spawn(move || {
-            while !stop.load(SeqCst) {
-                let used = Controller::memory_kib(process).unwrap_or(0);
-                peak.fetch_max(used, SeqCst);
-                if used > MEMORY_MB * 1_024 && !killed.swap(true, SeqCst) {
-                    record.say(format!("platform: {used} KiB of {} KiB, the controller is killed", MEMORY_MB * 1_024));
-                    let kill = format!("kill -KILL {process}");
-                    let _ = std::process::Command::new("/bin/sh").args(["-c", &kill]).status();
-                    return;
-                }
-                sleep(ms(5));
-            }
-        })
-    };
+    let watch = Watch::start(process, record);
     let bad = {
-        let (listen, stop, record) = (controller.listen.clone(), stop.clone(), record.clone());
+        let (listen, stop, record) = (controller.listen.clone(), watch.stop.clone(), record.clone());
         spawn(move || {
             sleep(ms(3_000));
             for wave in 1..=WAVES {
@@ -95,7 +79,6 @@
         })
     };
 
-    // The usual clients ask 20 times a second, together.
     let mut clients: Vec<Client> = (0..USUAL_CLIENTS).filter_map(|_| Client::connect(&controller.listen, record)).collect();
     let (mut all, began) = (Vec::new(), Instant::now());
     for number in 0..300usize {
@@ -114,16 +97,102 @@
         sleep((began + ms(50) * (number as u32 + 1)).saturating_duration_since(Instant::now()));
     }
     sleep(ms(4_600));
-    stop.store(true, SeqCst);
     let ended = controller.has_ended();
-    let _ = watching.join();
+    watch.end();
     let _ = bad.join();
     all.extend(clients);
+    Ok(verdict(&watch, &all, ended, record))
+}
+
+fn verdict(watch: &Watch, all: &[Client], ended: bool, record: &Record) -> bool {
     let sent: Vec<Sent> = all.iter().flat_map(|c| c.sent.lock().unwrap().values().cloned().collect::<Vec<_>>()).collect();
     let unanswered = sent.iter().filter(|s| s.answers.is_empty()).count();
     record.say(format!(
         "{} usual requests, {unanswered} without an answer; most memory {} KiB of {} KiB; killed for memory: {}; ended: {ended}",
-        sent.len(), peak.load(SeqCst), MEMORY_MB * 1_024, killed.load(SeqCst)
+        sent.len(), watch.peak.load(SeqCst), MEMORY_MB * 1_024, watch.killed.load(SeqCst)
     ));
-    Ok(killed.load(SeqCst) || ended || unanswered > 0)
+    watch.killed.load(SeqCst) || ended || unanswered > 0
+}
+
+/// The traffic of a controller with spoilt answers: requests a second, connections, and how many of 100 answers are spoilt.
+const RATE: u32 = 400;
+const CONNECTIONS: usize = 40;
+const SPOILT_OF_100: u64 = 15;
+const SECONDS: u32 = 20;
+
+/// Of 100 requests of the deployment, 60 are of the first class, 23 of the second, the rest of the third.
+pub fn run_spoilt(record: &Record, trouble: bool) -> Result<bool, String> {
+    let classes = [("quote-lookup", "safe", 1_200, 5_000), ("order-hold", "keyed", 1_000, 5_000), ("invoice-issue", "unsafe", 2_000, 6_000)];
+    let functions: Vec<String> = (1..=24).map(|n| format!("{n:016x}")).collect();
+    let feed = Feed::start(record);
+    let invokers: Vec<Invoker> = (1..=12).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
+    let stated: Vec<String> = classes.iter().map(|(name, effect, aim, limit)| class(name, effect, *aim, *limit)).collect();
+    let settings = settings(true, &stated.join(","));
+    let start = Start { invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let mut controller = Controller::start(&start, record)?;
+    let watch = Watch::start(controller.child.id(), record);
+    let mut clients: Vec<Client> = (0..CONNECTIONS).filter_map(|_| Client::connect(&controller.listen, record)).collect();
+    let (mut all, began, mut rng) = (Vec::new(), Instant::now(), Rng(7));
+    for number in 0..RATE * SECONDS {
+        if trouble && number == RATE * 3 {
+            record.add(format!("invokers: from now on {SPOILT_OF_100} of 100 good answers come spoilt"));
+            invokers.iter().for_each(|invoker| invoker.state.lock().unwrap().spoilt_of_100 = SPOILT_OF_100);
+        }
+        let place = number as usize % CONNECTIONS;
+        // At most 32 requests are open on a connection.
+        if clients[place].is_over.load(SeqCst) || clients[place].open() >= 30 {
+            if let Some(client) = Client::connect(&controller.listen, record) {
+                all.push(std::mem::replace(&mut clients[place], client));
+            }
+        }
+        let kind = match rng.below(100) { 0..60 => 0, 60..83 => 1, _ => 2 };
+        let (name, _, _, limit_ms) = classes[kind];
+        let (txn, key) = (format!("{:016x}", number + 1), format!("{:032x}", number + 1));
+        let function = &functions[kind * 8 + rng.below(8) as usize];
+        let key = (kind == 1).then_some(key.as_str());
+        clients[place].ask(&Ask { class: name, txn: &txn, limit_ms, function, key, body: b"usual" });
+        if controller.has_ended() {
+            break;
+        }
+        sleep((began + ms(1_000) * (number + 1) / RATE).saturating_duration_since(Instant::now()));
+    }
+    sleep(ms(6_600));
+    let ended = controller.has_ended();
+    watch.end();
+    all.extend(clients);
+    Ok(verdict(&watch, &all, ended, record))
+}
+
+/// The platform: it kills a controller that goes over its limit of memory.
+struct Watch {
+    stop: Arc<AtomicBool>,
+    peak: Arc<AtomicU64>,
+    killed: Arc<AtomicBool>,
+}
+
+impl Watch {
+    fn start(process: u32, record: &Record) -> Self {
+        let watch = Self { stop: Arc::default(), peak: Arc::default(), killed: Arc::default() };
+        let (stop, peak, killed, record) = (watch.stop.clone(), watch.peak.clone(), watch.killed.clone(), record.clone());
+        spawn(move || {
+            while !stop.load(SeqCst) {
+                let used = Controller::memory_kib(process).unwrap_or(0);
+                peak.fetch_max(used, SeqCst);
+                if used > MEMORY_MB * 1_024 {
+                    killed.store(true, SeqCst);
+                    record.say(format!("platform: {used} KiB of {} KiB, the controller is killed", MEMORY_MB * 1_024));
+                    let kill = format!("kill -KILL {process}");
+                    let _ = std::process::Command::new("/bin/sh").args(["-c", &kill]).status();
+                    return;
+                }
+                sleep(ms(5));
+            }
+        });
+        watch
+    }
+
+    fn end(&self) {
+        self.stop.store(true, SeqCst);
+        sleep(ms(20));
+    }
 }
--- a/review/standins-2/peers.rs
+++ b/review/standins-2/peers.rs
@@ -223,8 +223,17 @@
     pub loaded: BTreeSet<String>,
     /// Functions that exist.
     pub known: BTreeSet<String>,
+    /// Of 100 good answers, how many come spoilt: said to have 3 GB, and coming on and on.
+    pub spoilt_of_100: u64,
+    pub rng: Rng,
 }
 
+/// The length that a spoilt answer states.
+const SPOILT_LENGTH: u64 = 3_000_000_000;
+/// What comes of it at once, and every half second after that.
+const SPOILT_FIRST: usize = 240 << 10;
+const SPOILT_MORE: usize = 1 << 10;
+
 #[derive(Clone)]
 pub struct Invoker {
     pub id: u32,
@@ -284,6 +293,8 @@
             load: ms(900),
             loaded: known.clone(),
             known,
+            spoilt_of_100: 0,
+            rng: Rng(u64::from(id) << 32),
         };
         let invoker = Self {
             id,
@@ -318,12 +329,28 @@
                 while matches!(stream.read(&mut rest), Ok(1..)) {}
                 return;
             };
+            if call.head.contains_key("x-txn") && answer.starts_with(b"HTTP/1.1 200") && self.spoils() {
+                self.record.add(format!("invoker {}: spoils the answer to {}", self.id, call.head["x-txn"]));
+                let head = format!("HTTP/1.1 200 OK\r\nX-How: resident\r\nContent-Length: {SPOILT_LENGTH}\r\n\r\n");
+                let mut written = stream.write_all(&[head.as_bytes(), &[b'x'; SPOILT_FIRST]].concat());
+                while written.is_ok() {
+                    sleep(ms(500));
+                    written = stream.write_all(&[b'x'; SPOILT_MORE]);
+                }
+                return;
+            }
             if stream.write_all(&answer).is_err() {
                 return;
             }
         }
     }
 
+    fn spoils(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let share = state.spoilt_of_100;
+        state.rng.below(100) < share
+    }
+
     fn note(&self, kind: &'static str, txn: &str, function: &str) {
         let at = Instant::now();
         let (txn, function) = (txn.to_owned(), function.to_owned());
