--- a/review/standins-2/peers.rs
+++ b/review/standins-2/peers.rs
@@ -555,14 +555,21 @@
     pub body: &'a [u8],
 }
 
+/// The further figures of a usual request.
+pub const USUAL_FIGURES: &str = "memory_mb:512;lanes:4;load_ms:900";
+
 pub fn request(stream: u32, ask: &Ask) -> Vec<u8> {
+    request_with(stream, ask, USUAL_FIGURES)
+}
+
+pub fn request_with(stream: u32, ask: &Ask, figures: &str) -> Vec<u8> {
     let limit = ask.limit_ms.to_string();
     let mut fields = vec![
         ("verb", ask.class),
         ("txn", ask.txn),
         ("limit", &limit),
         ("item", ask.function),
-        ("extras", "memory_mb:512;lanes:4;load_ms:900"),
+        ("extras", figures),
     ];
     fields.extend(ask.key.map(|key| ("unique", key)));
     let mut payload = vec![fields.len() as u8];
@@ -615,9 +622,13 @@
     }
 
     pub fn ask(&mut self, ask: &Ask) {
-        let bytes = request(self.next, ask);
+        self.ask_with(ask, USUAL_FIGURES);
+    }
+
+    pub fn ask_with(&mut self, ask: &Ask, figures: &str) {
+        let bytes = request_with(self.next, ask, figures);
         let at = Instant::now();
-        self.record.add_at(at, format!("client: {} {} {}", ask.class, ask.function, ask.txn));
+        self.record.add_at(at, format!("client: {} {} {} ({figures})", ask.class, ask.function, ask.txn));
         let sent = Sent {
             txn: ask.txn.to_owned(),
             at,
