--- a/review/standins-2/figures.rs
+++ b/review/standins-2/figures.rs
@@ -12,7 +12,7 @@
     let feed = Feed::start(record);
     let invokers: Vec<Invoker> = (1..=4).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
     let settings = settings(true, &class("quote-lookup", "safe", 1_200, 5_000));
-    let start = Start { invokers: &invokers, feed: &feed, settings: &settings, memory_mb: 192, sockets: 1_024 };
+    let start = Start { name: "n1", invokers: &invokers, feed: &feed, settings: &settings, memory_mb: 192, sockets: 1_024 };
     let mut controller = Controller::start(&start, record)?;
     let mut usual = Client::connect(&controller.listen, record).ok_or("no connection")?;
     // As a bad client may be closed, each of its requests has a connection of its own.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,10 +1,12 @@
 //! Runs one case of the review: `day CASE RECORD`. Exits with 1 if a rule was broken, 0 if all held, 2 if the case could not
 //! run. `TROUBLE=0` leaves out the disruption.
 
+mod cold;
 mod figures;
 mod memory;
 #[allow(dead_code)]
 mod peers;
+mod second;
 
 use std::process::ExitCode;
 
@@ -26,8 +28,10 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
+        "cold" => cold::run(&record, trouble),
         "figures" => figures::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
+        "second" => second::run(&record, trouble),
         "spoilt" => memory::run_spoilt(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -58,7 +58,7 @@
     let feed = Feed::start(record);
     let invokers: Vec<Invoker> = (1..=12).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
     let settings = settings(true, &class("quote-lookup", "safe", 1_200, 5_000));
-    let start = Start { invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let start = Start { name: "n1", invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
     let mut controller = Controller::start(&start, record)?;
     let process = controller.child.id();
 
@@ -128,7 +128,7 @@
     let invokers: Vec<Invoker> = (1..=12).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
     let stated: Vec<String> = classes.iter().map(|(name, effect, aim, limit)| class(name, effect, *aim, *limit)).collect();
     let settings = settings(true, &stated.join(","));
-    let start = Start { invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let start = Start { name: "n1", invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
     let mut controller = Controller::start(&start, record)?;
     let watch = Watch::start(controller.child.id(), record);
     let mut clients: Vec<Client> = (0..CONNECTIONS).filter_map(|_| Client::connect(&controller.listen, record)).collect();
--- a/review/standins-2/peers.rs
+++ b/review/standins-2/peers.rs
@@ -73,6 +73,9 @@
 
 // ---------------------------------------------------------------- the control feed
 
+/// Whether invokers load a function that they lack while the request waits; otherwise they answer that they lack it.
+pub static LOADS: AtomicBool = AtomicBool::new(false);
+
 /// How the feed treats its connections.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum FeedMode {
@@ -225,7 +228,27 @@
     pub known: BTreeSet<String>,
     /// Of 100 good answers, how many come spoilt: said to have 3 GB, and coming on and on.
     pub spoilt_of_100: u64,
+    /// Of 100 good answers, how many come twice, and how long after the first the second is written.
+    pub twice_of_100: u64,
+    pub second_after: Duration,
     pub rng: Rng,
+    /// When it started cold; none: it is warm.
+    pub cold: Option<Instant>,
+    /// The loads under way, each with its begin.
+    pub loading: BTreeMap<String, Instant>,
+    /// Requests in work.
+    pub in_work: u32,
+}
+
+/// The warm-up of an invoker, by the settings: from this share of its capacity, evenly to all of it within this time.
+pub const COLD_FROM: f64 = 0.2;
+pub const COLD_MS: f64 = 17_000.0;
+/// Requests that an invoker works on at once without slowing down.
+pub const CORES: f64 = 3.0;
+
+/// The share of its capacity that an invoker has so long after its start.
+pub fn warm_share(age: Duration) -> f64 {
+    (COLD_FROM + (1.0 - COLD_FROM) * age.as_secs_f64() * 1_000.0 / COLD_MS).min(1.0)
 }
 
 /// The length that a spoilt answer states.
@@ -242,6 +265,7 @@
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     record: Record,
     alive: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 /// Reads a request; none at the end of the connection.
@@ -294,7 +318,12 @@
             loaded: known.clone(),
             known,
             spoilt_of_100: 0,
+            twice_of_100: 0,
+            second_after: ms(5),
             rng: Rng(u64::from(id) << 32),
+            cold: None,
+            loading: BTreeMap::new(),
+            in_work: 0,
         };
         let invoker = Self {
             id,
@@ -303,19 +332,67 @@
             arrivals: Arc::default(),
             record: record.clone(),
             alive: Arc::new(AtomicBool::new(true)),
+            streams: Arc::default(),
         };
-        let accepting = invoker.clone();
+        invoker.listen(listener);
+        invoker
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let invoker = self.clone();
+        listener.set_nonblocking(true).unwrap();
         spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let invoker = accepting.clone();
+            while invoker.alive.load(SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(ms(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                invoker.streams.lock().unwrap().extend(stream.try_clone());
+                let invoker = invoker.clone();
                 spawn(move || invoker.serve(stream));
             }
         });
-        invoker
+    }
+
+    /// The process ends: its connections are closed, and new ones are refused.
+    pub fn end(&self) {
+        self.record.add(format!("invoker {}: its process ends", self.id));
+        self.alive.store(false, SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        sleep(ms(10));
+    }
+
+    /// The process starts again at its address, empty and cold.
+    pub fn start_again(&self) -> Result<(), String> {
+        let listener = TcpListener::bind(("127.0.0.1", self.port)).map_err(|e| e.to_string())?;
+        {
+            let mut state = self.state.lock().unwrap();
+            state.loaded.clear();
+            state.loading.clear();
+            state.cold = Some(Instant::now());
+        }
+        self.alive.store(true, SeqCst);
+        self.record.add(format!("invoker {}: its process starts, cold and empty", self.id));
+        self.listen(listener);
+        Ok(())
+    }
+
+    /// How long a request runs that begins now.
+    fn run_time(&self) -> Duration {
+        let mut state = self.state.lock().unwrap();
+        state.in_work += 1;
+        let Some(started) = state.cold else {
+            return state.run;
+        };
+        let cores = CORES * warm_share(started.elapsed());
+        state.run.mul_f64((f64::from(state.in_work) / cores).max(1.0))
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+        // The socket has the options of the system, as those of any server have that sets none.
         // Connections idle for the time in the settings are closed.
         let _ = stream.set_read_timeout(Some(ms(15_000)));
         let mut bytes = Vec::new();
@@ -342,9 +419,25 @@
             if stream.write_all(&answer).is_err() {
                 return;
             }
+            let written = Instant::now();
+            if call.head.contains_key("x-txn") && answer.starts_with(b"HTTP/1.1 200") && self.answers_twice() {
+                let after = self.state.lock().unwrap().second_after;
+                sleep(after);
+                let late = written.elapsed().as_secs_f64() * 1_000.0;
+                if stream.write_all(&answer).is_err() {
+                    return;
+                }
+                self.record.add(format!("invoker {}: wrote the answer to {} again, {late:.1} ms late", self.id, call.head["x-txn"]));
+            }
         }
     }
 
+    fn answers_twice(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let share = state.twice_of_100;
+        state.rng.below(100) < share
+    }
+
     fn spoils(&self) -> bool {
         let mut state = self.state.lock().unwrap();
         let share = state.spoilt_of_100;
@@ -364,9 +457,9 @@
     fn handle(&self, call: &Call) -> Option<Vec<u8>> {
         let mut words = call.first.split(' ');
         let (method, path) = (words.next()?, words.next()?);
-        let (draining, hangs, run, load) = {
+        let (draining, hangs, load) = {
             let state = self.state.lock().unwrap();
-            (state.draining, state.hangs, state.run, state.load)
+            (state.draining, state.hangs, state.load)
         };
         let full = || Some(answer("503 Full", "X-Unrun: 1\r\n", b""));
         if path == "/healthz" || path == "/busy" {
@@ -401,14 +494,29 @@
                 if draining {
                     return full();
                 }
+                let mut how = "resident";
                 if !self.state.lock().unwrap().loaded.contains(function) {
-                    return Some(answer("404 Miss", "", b""));
+                    if !LOADS.load(SeqCst) {
+                        return Some(answer("404 Miss", "", b""));
+                    }
+                    let began = {
+                        let loading = &mut self.state.lock().unwrap().loading;
+                        how = if loading.contains_key(function) { "rode" } else { "booted" };
+                        *loading.entry(function.clone()).or_insert_with(Instant::now)
+                    };
+                    sleep((began + load).saturating_duration_since(Instant::now()));
+                    let mut state = self.state.lock().unwrap();
+                    state.loading.remove(function);
+                    state.loaded.insert(function.clone());
                 }
                 if hangs {
                     return None;
                 }
+                let run = self.run_time();
                 sleep(run);
-                Some(answer("200 OK", "X-How: resident\r\n", &made_body(txn)))
+                self.state.lock().unwrap().in_work -= 1;
+                let head = format!("X-How: {how}\r\nX-Gauges: util:0.5\r\n");
+                Some(answer("200 OK", &head, &made_body(txn)))
             }
         }
     }
@@ -454,6 +562,7 @@
 }
 
 pub struct Start<'a> {
+    pub name: &'a str,
     pub invokers: &'a [Invoker],
     pub feed: &'a Feed,
     pub settings: &'a str,
@@ -468,8 +577,8 @@
         std::fs::create_dir_all(folder.join("tmp")).map_err(|e| e.to_string())?;
         let listen = format!("127.0.0.1:{}", free_port());
         let config = format!(
-            r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"feed":"127.0.0.1:{}","known":{{"n":1,"events":[{{"n":1,"members":{{"revision":1,"complete":true,"members":[{}]}}}}]}},"settings":{}}}"#,
-            start.memory_mb, start.sockets, start.feed.port, members(start.invokers), start.settings
+            r#"{{"name":"{}","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"feed":"127.0.0.1:{}","known":{{"n":1,"events":[{{"n":1,"members":{{"revision":1,"complete":true,"members":[{}]}}}}]}},"settings":{}}}"#,
+            start.name, start.memory_mb, start.sockets, start.feed.port, members(start.invokers), start.settings
         );
         let path = folder.join("config.json");
         std::fs::write(&path, config).map_err(|e| e.to_string())?;
@@ -477,7 +586,7 @@
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()])
             .env("RELAY_CONFIG", &path)
-            .env("RELAY_NAME", "n1")
+            .env("RELAY_NAME", start.name)
             .env("RELAY_LISTEN", &listen)
             .env("TMPDIR", folder.join("tmp"))
             .stdin(Stdio::null())
@@ -699,8 +808,13 @@
 
 /// The settings of a small deployment, after the figures of the deployment that this repository is run on.
 pub fn settings(cancel: bool, classes: &str) -> String {
+    settings_of(1, cancel, classes)
+}
+
+/// The same for several controllers.
+pub fn settings_of(controllers: usize, cancel: bool, classes: &str) -> String {
     format!(
-        r#"{{"balancers":1,"zone":0,"zones":["hall-a"],"kinds":["std-4"],"over_share_worth":0.1,"tick_ms":2.0,"discovery":"automatic","classes":[{classes}],"bounds":{{"cancel":{cancel},"connect_timeout_ms":250.0,"conn_idle_ms":15000.0,"max_retry_after_ms":500.0,"parallel_tries":false,"probing":true,"retry_after":true,"try_limit":3}},"family_info":{{"kind_memory_mb":[42000.0],"linger_idle_ms":8700.0,"load_share":0.1,"load_wait_ms":10000.0,"load_window_ms":5000.0,"loads_anyway":3.0,"may_order":true,"not_loaded":"miss"}},"reporting":{{"fields":["queue","util"],"how":"probe"}},"rules":{{"drain_grace_ms":250.0,"cold_from":0.19,"cold_ms":15000.0,"overload_factor":2.0,"tip_after_ms":3000.0,"grace_to_answer_ms":16.0}}}}"#
+        r#"{{"balancers":{controllers},"zone":0,"zones":["hall-a"],"kinds":["std-4"],"over_share_worth":0.1,"tick_ms":2.0,"discovery":"automatic","classes":[{classes}],"bounds":{{"cancel":{cancel},"connect_timeout_ms":250.0,"conn_idle_ms":15000.0,"max_retry_after_ms":500.0,"parallel_tries":false,"probing":true,"retry_after":true,"try_limit":3}},"family_info":{{"kind_memory_mb":[42000.0],"linger_idle_ms":8700.0,"load_share":0.1,"load_wait_ms":10000.0,"load_window_ms":5000.0,"loads_anyway":3.0,"may_order":true,"not_loaded":"miss"}},"reporting":{{"fields":["queue","util"],"how":"probe"}},"rules":{{"drain_grace_ms":250.0,"cold_from":0.19,"cold_ms":15000.0,"overload_factor":2.0,"tip_after_ms":3000.0,"grace_to_answer_ms":16.0}}}}"#
     )
 }
 
