--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -8,14 +8,14 @@
 use std::thread::{sleep, spawn};
 use std::time::Instant;
 
-/// The least memory that the pages give a controller, and the most descriptors.
-const MEMORY_MB: u64 = 32;
-const SOCKETS: u64 = 1_024;
+/// Within what the pages give a controller: 32 to 192 MB, 256 to 1,024 descriptors.
+const MEMORY_MB: u64 = 40;
+const SOCKETS: u64 = 960;
 /// With the usual clients these are less than a third of the descriptors.
-const BAD_CLIENTS: usize = 320;
+const BAD_CLIENTS: usize = 310;
 const USUAL_CLIENTS: usize = 8;
-const REQUESTS: u64 = 4;
-const BODY_BYTES: usize = 4_000;
+const REQUESTS: u64 = 8;
+const BODY_BYTES: usize = 12_000;
 const WAVES: u64 = 3;
 
 /// One wave: every bad client connects, sends at full speed, reads what it is sent, and leaves when it is closed.
@@ -114,6 +114,8 @@
     watch.killed.load(SeqCst) || ended || unanswered > 0
 }
 
+/// Descriptors of the controller with spoilt answers.
+const SPOILT_SOCKETS: u64 = 512;
 /// The traffic of a controller with spoilt answers: requests a second, connections, and how many of 100 answers are spoilt.
 const RATE: u32 = 400;
 const CONNECTIONS: usize = 40;
@@ -128,7 +130,7 @@
     let invokers: Vec<Invoker> = (1..=12).map(|id| Invoker::start(id, ms(230), &functions, record)).collect();
     let stated: Vec<String> = classes.iter().map(|(name, effect, aim, limit)| class(name, effect, *aim, *limit)).collect();
     let settings = settings(true, &stated.join(","));
-    let start = Start { name: "n1", invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let start = Start { name: "n1", invokers: &invokers, feed: &feed, settings: &settings, memory_mb: MEMORY_MB, sockets: SPOILT_SOCKETS };
     let mut controller = Controller::start(&start, record)?;
     let watch = Watch::start(controller.child.id(), record);
     let mut clients: Vec<Client> = (0..CONNECTIONS).filter_map(|_| Client::connect(&controller.listen, record)).collect();
