--- a/review/standins-2/peers.rs
+++ b/review/standins-2/peers.rs
@@ -265,7 +265,8 @@
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     record: Record,
     alive: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Its open connections, by number.
+    streams: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
 }
 
 /// Reads a request; none at the end of the connection.
@@ -342,15 +343,23 @@
         let invoker = self.clone();
         listener.set_nonblocking(true).unwrap();
         spawn(move || {
+            let mut number = 0;
             while invoker.alive.load(SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
                     sleep(ms(1));
                     continue;
                 };
                 let _ = stream.set_nonblocking(false);
-                invoker.streams.lock().unwrap().extend(stream.try_clone());
+                number += 1;
+                if let Ok(other) = stream.try_clone() {
+                    invoker.streams.lock().unwrap().insert(number, other);
+                }
                 let invoker = invoker.clone();
-                spawn(move || invoker.serve(stream));
+                spawn(move || {
+                    invoker.serve(stream);
+                    // Without the other handle the connection is closed.
+                    invoker.streams.lock().unwrap().remove(&number);
+                });
             }
         });
     }
@@ -359,7 +368,7 @@
     pub fn end(&self) {
         self.record.add(format!("invoker {}: its process ends", self.id));
         self.alive.store(false, SeqCst);
-        for stream in self.streams.lock().unwrap().drain(..) {
+        for stream in self.streams.lock().unwrap().values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
         sleep(ms(10));
