Bound the sum of the answers that are being received from invokers

Seen by callers: where answers of invokers are spoilt and keep coming, a controller of 40 MB is killed after some seconds.

Cause: each answer was received up to 262,080 bytes whatever it was said to have, in a list of pieces, and all open answers together had no bound.

Change: an answer said to be too long is given up at its head; the others are copied into one buffer, for which all open answers share a sixteenth of the memory. A head may have 8 KiB.

--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -191,6 +191,15 @@
     })
 }
 
+/// Adds an invoker to a configuration.
+pub fn add_invoker(configuration: &mut Value, number: u32, address: &str) {
+    let members = &mut configuration["known"]["events"][0]["members"]["members"];
+    let mut member = members[0].clone();
+    member["id"] = json!(format!("s-{number:08x}"));
+    member["host_port"] = json!(address);
+    members.as_array_mut().unwrap().push(member);
+}
+
 /// Writes a configuration to a file in this folder.
 pub fn write(folder: &Path, text: &str) -> PathBuf {
     let path = folder.join("config.json");
--- a/crates/platform/src/acceptor.rs
+++ b/crates/platform/src/acceptor.rs
@@ -85,7 +85,11 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         if sweep_count.is_multiple_of(VIEW_LOG_SWEEPS) {
             handle.config.clients.memory.log_bound_met("clients");
-            handle.inspect(|state| log_invoker_views(state, &handle.config));
+            handle.inspect(|state| {
+                let responses = &state.invocations.transport.response_memory;
+                responses.log_bound_met("invokers");
+                log_invoker_views(state, &handle.config);
+            });
         }
         let now = handle.clock.now();
         handle.config.clients.close_overdue(now);
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -3,8 +3,9 @@
 //! whether it may have run.
 
 use crate::descriptor_guard::DescriptorGuard;
-use crate::invoker_connection::{InvokerConnection, InvokerResponse, SendDeadline};
+use crate::invoker_connection::{InvokerConnection, InvokerResponse, ResponseLimit, SendDeadline};
 use crate::invoker_pools::report_lost_connections;
+use crate::memory_budget::MemoryHolder;
 use crate::state::ControllerHandle;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -74,6 +75,8 @@
     pub descriptor: Cell<Option<DescriptorGuard>>,
     pub open_descriptors: Rc<Cell<usize>>,
     pub send_deadline: SendDeadline,
+    /// What the response holds while it is received.
+    pub response_memory: Rc<MemoryHolder>,
     pub prepared: PreparedRequest,
 }
 
@@ -215,7 +218,10 @@
                 request,
                 self.prepared.body_bytes,
                 send_deadline,
-                max_response_bytes,
+                ResponseLimit {
+                    max_bytes: max_response_bytes,
+                    memory: &self.response_memory,
+                },
             )
             .await
         {
@@ -269,7 +275,7 @@
     attempt_number: u8,
 ) {
     let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
-    let mut report = AttemptReport::default();
+    let (mut report, mut body) = (AttemptReport::default(), None);
     let (outcome, connection) = match attempt
         .send(idle_connection, frames::OUTPUT_BYTES_MAX)
         .await
@@ -277,13 +283,14 @@
         AttemptEnd::Responded(response, connection) => {
             let details = http::parse_response_details(|name| response.field(name));
             let outcome = http::dispatch_outcome(response.status, |name| response.field(name));
-            let output = response.body;
             report = AttemptReport {
                 start_kind: details.start_kind,
                 concurrency: details.concurrency,
                 load_report: details.load_report,
-                output,
+                output: response.body.bytes.clone(),
             };
+            // The response's memory is counted until its body was handed to the client.
+            body = Some(response.body);
             (outcome, Some(connection))
         }
         AttemptEnd::NotSent(why) => {
@@ -315,6 +322,7 @@
         }
         state.attempt_ended(invocation, attempt_number, outcome, &report);
     });
+    drop(body);
 }
 
 /// Sends a load order, and reports how it ended.
--- a/crates/platform/src/invoker_connection.rs
+++ b/crates/platform/src/invoker_connection.rs
@@ -1,7 +1,9 @@
 //! One connection to an invoker: HTTP/1.1 with hyper, over a stream that counts the bytes sent.
 
+use crate::memory_budget::MemoryHolder;
+use crate::response_body::{ReceivedBody, receive_body};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
@@ -17,7 +19,7 @@
 use tokio::task::AbortHandle;
 
 /// Longest head of a response.
-const HEAD_BYTES_MAX: usize = 16 << 10;
+const HEAD_BYTES_MAX: usize = 8 << 10;
 const HEADERS_MAX: usize = 64;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -220,7 +222,15 @@
 pub(crate) struct InvokerResponse {
     pub status: u16,
     pub headers: hyper::HeaderMap,
-    pub body: Bytes,
+    pub body: ReceivedBody,
+}
+
+/// How much of a response may be received.
+pub(crate) struct ResponseLimit<'a> {
+    /// Longest body.
+    pub max_bytes: usize,
+    /// The memory in which it is received.
+    pub memory: &'a Rc<MemoryHolder>,
 }
 
 impl InvokerResponse {
@@ -268,13 +278,13 @@
         !self.task.is_finished() && self.sender.is_ready() && self.socket.is_open_and_empty()
     }
 
-    /// Sends a request and reads the response, of at most `max_response_bytes`, as a faulty response may never end.
+    /// Sends a request and receives the response within `limit`, as a faulty response may never end.
     pub async fn request(
         &mut self,
         request: Request<Full<Bytes>>,
         body_bytes: usize,
         send_deadline: SendDeadline,
-        max_response_bytes: usize,
+        limit: ResponseLimit<'_>,
     ) -> Result<InvokerResponse, String> {
         self.socket.begin(body_bytes, send_deadline);
         let response = self
@@ -283,14 +293,13 @@
             .await
             .map_err(|e| error_chain(&e))?;
         let (head, body): (_, Incoming) = Response::into_parts(response);
-        let body = http_body_util::Limited::new(body, max_response_bytes)
-            .collect()
+        let body = receive_body(body, limit.max_bytes, limit.memory)
             .await
             .map_err(|e| e.to_string())?;
         Ok(InvokerResponse {
             status: head.status.as_u16(),
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 }
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -7,7 +7,7 @@
 use crate::descriptor_guard::DescriptorGuard;
 use crate::invoker_connection::{InvokerConnection, SendDeadline, Socket};
 use crate::limits::ResourceLimits;
-use crate::memory_budget::Reservation;
+use crate::memory_budget::{MemoryBudget, MemoryHolder, Reservation};
 use crate::state::ControllerHandle;
 use bytes::Bytes;
 use saltdrum::interface::*;
@@ -183,6 +183,8 @@
     /// Number of connections that are open (idle ones included), being established or just aborted.
     open_connections: Rc<Cell<usize>>,
     held_bytes: Rc<Cell<usize>>,
+    /// What the responses that are being received hold.
+    pub(crate) response_memory: Rc<MemoryBudget>,
 }
 
 impl InvokerPools {
@@ -206,6 +208,7 @@
             load_sent_times: BTreeMap::new(),
             open_connections: Rc::default(),
             held_bytes: Rc::default(),
+            response_memory: MemoryBudget::new(budget.response_bytes),
         }
     }
 
@@ -288,6 +291,7 @@
             ),
             open_descriptors: self.open_connections.clone(),
             send_deadline,
+            response_memory: MemoryHolder::new(self.response_memory.clone()),
             prepared,
         };
         let socket = connection
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -21,6 +21,7 @@
 fn log_counters(state: &ControllerState, config: &NodeConfig) {
     let (feed, client_memory) = (&config.feed, &config.clients.memory);
     let transport = &state.invocations.transport;
+    let response_memory = &transport.response_memory;
     let counters = &state.invocations.counters;
     let sizes = state.policy.table_sizes();
     let readiness = state.policy.readiness_counts();
@@ -58,6 +59,8 @@
         unread_bytes = client_memory.queued_bytes(),
         client_memory_refused = client_memory.refused(),
         clients_closed_for_memory = client_memory.ended(),
+        response_bytes = response_memory.used_bytes(),
+        response_memory_refused = response_memory.refused(),
         list_event = feed.last_event(),
         list_age_ms = feed.age(state.invocations.now) / MILLISECOND,
         feed_losses = feed.losses(),
--- a/crates/platform/src/limits.rs
+++ b/crates/platform/src/limits.rs
@@ -13,6 +13,7 @@
 const CLIENT_CONNECTION_SHARE: u64 = 5;
 const CLIENT_DATA_SHARE: u64 = 10;
 const INVOKER_CONNECTION_SHARE: u64 = 14;
+const RESPONSE_SHARE: u64 = 4;
 
 /// Memory of a client's connection: its task, its state, and what was read and not decoded, in bytes.
 const CLIENT_CONNECTION_BYTES: u64 = 7 << 10;
@@ -31,6 +32,8 @@
     pub lines: usize,
     /// Total bytes of frames received in part, open requests and unread responses of clients.
     pub client_bytes: usize,
+    /// Total bytes of the responses of invokers that are being received.
+    pub response_bytes: usize,
 }
 
 impl ResourceLimits {
@@ -52,6 +55,7 @@
             clients: clients.min(clients_in_memory),
             lines: (available - clients).min(lines_in_memory),
             client_bytes: share(CLIENT_DATA_SHARE) as usize,
+            response_bytes: share(RESPONSE_SHARE) as usize,
         }
     }
 }
--- a/crates/platform/src/tests/partial_sends.rs
+++ b/crates/platform/src/tests/partial_sends.rs
@@ -1,7 +1,8 @@
 //! Requests that are sent in pieces.
 
 use super::support::{run_test, sleep_ms};
-use crate::invoker_connection::{InvokerConnection, SendDeadline};
+use crate::invoker_connection::{InvokerConnection, ResponseLimit, SendDeadline};
+use crate::memory_budget::{MemoryBudget, MemoryHolder};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -89,11 +90,11 @@
             .uri("/obj/look")
             .header("host", "invoker");
         let request = request.body(Full::<Bytes>::default()).unwrap();
-        drop(
-            connection
-                .request(request, 0, deadline, RESPONSE_BYTES_MAX)
-                .await,
-        );
+        let limit = ResponseLimit {
+            max_bytes: RESPONSE_BYTES_MAX,
+            memory: &MemoryHolder::new(MemoryBudget::new(RESPONSE_BYTES_MAX)),
+        };
+        drop(connection.request(request, 0, deadline, limit).await);
     });
     sleep_ms(delay_ms).await;
     assert_eq!(receiver.received.borrow().len(), FIRST_PIECE_BYTES);
