Ids of requests that may have run are not used again

Cause: an id was known as long as its invocation owed a response, and free as soon as the client had left, though an attempt had been sent.

Change: an id belongs to its invocation until the last attempt has ended, and is kept after that if an attempt may have run; a request that comes with it is answered as failed.

Evidence: two tests of departed_clients.rs fail without the change. The other half of the picture, requests sent on after a close with much unread, is forced by a test and passes without it too.

--- a/crates/platform/src/admission.rs
+++ b/crates/platform/src/admission.rs
@@ -3,6 +3,7 @@
 use crate::clients::{Client, ClientResponder, NO_DEADLINE, OVERLOAD_RETRY_AFTER_MS};
 use crate::limits::OPEN_REQUEST_BYTES;
 use crate::state::{ControllerHandle, ControllerState, NodeConfig};
+use crate::transaction_ids::UsedId;
 use saltdrum::interface::{FunctionId, Invocation, InvocationId, MILLISECOND, Ticks};
 use saltdrum_controller::{FinalResponse, Responder};
 use saltdrum_platform_wire::frames::Request;
@@ -35,8 +36,8 @@
     TooMuchMemory(f64),
     #[error("the client timeout is over")]
     Expired,
-    #[error("txn: open already")]
-    TransactionOpen,
+    #[error(transparent)]
+    UsedId(#[from] UsedId),
 }
 
 /// The earliest time at which a request can have arrived, and whether its client's stream has unread bytes.
@@ -67,18 +68,13 @@
         );
         return Err(AdmissionError::Expired);
     }
-    let open_transactions = node.clients.open_transactions.clone();
-    if !open_transactions.borrow_mut().insert(txn) {
-        return Err(AdmissionError::TransactionOpen);
-    }
+    let transaction = node.clients.transactions.open(txn)?;
     let memory = client
         .memory
         .reserve(OPEN_REQUEST_BYTES + request.body.len());
     let responder = ClientResponder {
         client: client.clone(),
         stream,
-        txn,
-        open_transactions,
         clock: handle.clock,
     };
     let Some(memory) = memory else {
@@ -93,7 +89,7 @@
     let traits = FunctionTraits::new(&request);
     let backlog = arrival.backlog.clone();
     let transport = &state.invocations.transport;
-    let payload = transport.make_payload(resolved.trigger, request, backlog, memory);
+    let payload = transport.make_payload(resolved.trigger, transaction, request, backlog, memory);
     let id = state.invocations.next_invocation_id();
     client.open_streams.borrow_mut().insert(stream, id);
     let invocation = to_policy_invocation(id, &resolved, &traits, arrival.earliest);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -2,13 +2,15 @@
 //! responses that wait to be sent. `client_connection` serves one connection, `admission` admits one invocation. A
 //! malformed, flooding or silent client affects no other client.
 
+use crate::limits::ResourceLimits;
 use crate::memory_budget::{MemoryBudget, MemoryHolder};
+use crate::transaction_ids::TransactionIds;
 use saltdrum::interface::{InvocationId, MILLISECOND, SECOND, Ticks};
 use saltdrum_controller::{FinalResponse, Responder};
 use saltdrum_platform_wire::frames::{self, Code};
 use saltdrum_transport::SendQueue;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
@@ -177,7 +179,7 @@
     pub(crate) memory: Rc<MemoryBudget>,
     connections: RefCell<BTreeMap<u64, Rc<Client>>>,
     last_number: Cell<u64>,
-    pub(crate) open_transactions: Rc<RefCell<BTreeSet<u64>>>,
+    pub(crate) transactions: Rc<TransactionIds>,
     /// Complete frames read from all clients.
     frames_read: Cell<u64>,
     /// Held by the client whose frames are handled.
@@ -194,13 +196,13 @@
 }
 
 impl Clients {
-    /// Creates an empty table. All clients together hold at most `max_bytes` besides their connections.
-    pub fn new(max_bytes: usize) -> Self {
+    /// Creates an empty table with the bounds on what clients hold.
+    pub fn new(budget: &ResourceLimits) -> Self {
         Self {
-            memory: MemoryBudget::new(max_bytes),
+            memory: MemoryBudget::new(budget.client_bytes),
             connections: RefCell::default(),
             last_number: Cell::default(),
-            open_transactions: Rc::default(),
+            transactions: TransactionIds::new(budget.recent_ids),
             frames_read: Cell::default(),
             turn: Semaphore::new(1),
             is_shutting_down: Cell::default(),
@@ -242,7 +244,7 @@
     pub fn sizes(&self) -> (usize, usize) {
         (
             self.connections.borrow().len(),
-            self.open_transactions.borrow().len(),
+            self.transactions.open_count(),
         )
     }
 
@@ -390,19 +392,15 @@
         .map(|(_, _, client)| client)
 }
 
-/// Sends the final response of an invocation. However the invocation ends, its stream and id are free when this is
-/// dropped.
+/// Sends the final response of an invocation. However the invocation ends, its stream is closed when this is dropped.
 pub(crate) struct ClientResponder {
     pub client: Rc<Client>,
     pub stream: u32,
-    pub txn: u64,
-    pub open_transactions: Rc<RefCell<BTreeSet<u64>>>,
     pub clock: saltdrum_transport::Clock,
 }
 
 impl Drop for ClientResponder {
     fn drop(&mut self) {
-        self.open_transactions.borrow_mut().remove(&self.txn);
         self.client.open_streams.borrow_mut().remove(&self.stream);
         self.client.last_active.set(Some(self.clock.now()));
     }
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -9,6 +9,7 @@
 use crate::limits::ResourceLimits;
 use crate::memory_budget::{MemoryBudget, MemoryHolder, Reservation};
 use crate::state::ControllerHandle;
+use crate::transaction_ids::TransactionId;
 use bytes::Bytes;
 use saltdrum::interface::*;
 use saltdrum_platform_wire::frames;
@@ -34,7 +35,7 @@
 /// The data that is sent with each attempt of an invocation.
 pub(crate) struct Payload {
     pub trigger: usize,
-    pub txn: u64,
+    pub transaction: TransactionId,
     /// The idempotency key.
     pub token: Option<String>,
     pub body: Bytes,
@@ -221,6 +222,7 @@
     pub fn make_payload(
         &self,
         trigger: usize,
+        transaction: TransactionId,
         request: frames::Request,
         client_backlog: ReadBacklog,
         memory: Reservation,
@@ -229,7 +231,7 @@
         held_bytes.set(held_bytes.get() + request.body.len());
         Payload {
             trigger,
-            txn: request.txn,
+            transaction,
             token: request.token,
             body: request.body,
             client_backlog,
--- a/crates/platform/src/invoker_pools/transport.rs
+++ b/crates/platform/src/invoker_pools/transport.rs
@@ -23,7 +23,10 @@
         .method(if has_body { "POST" } else { "GET" })
         .uri(format!("/obj/{trigger_name}"))
         .header("host", "invoker")
-        .header(http::TRANSACTION_HEADER, format!("{:016x}", payload.txn))
+        .header(
+            http::TRANSACTION_HEADER,
+            format!("{:016x}", payload.transaction.id()),
+        )
         .header(http::FUNCTION_HEADER, format!("{function:016x}"));
     if let Some(token) = &payload.token {
         request = request.header(http::TOKEN_HEADER, token);
@@ -81,10 +84,13 @@
         &mut self,
         _: InvokerId,
         dispatch: u64,
-        _: &Payload,
-        _: Outcome,
+        payload: &Payload,
+        outcome: Outcome,
         _: &AttemptReport,
     ) {
+        if !outcome.never_ran() {
+            payload.transaction.set_may_have_run();
+        }
         self.abort(dispatch);
     }
 
--- a/crates/platform/src/invoker_pools/views.rs
+++ b/crates/platform/src/invoker_pools/views.rs
@@ -22,6 +22,7 @@
     let (feed, client_memory) = (&config.feed, &config.clients.memory);
     let transport = &state.invocations.transport;
     let response_memory = &transport.response_memory;
+    let transactions = &config.clients.transactions;
     let counters = &state.invocations.counters;
     let sizes = state.policy.table_sizes();
     let readiness = state.policy.readiness_counts();
@@ -61,6 +62,9 @@
         clients_closed_for_memory = client_memory.ended(),
         response_bytes = response_memory.used_bytes(),
         response_memory_refused = response_memory.refused(),
+        ids_recent = transactions.recent_count(),
+        ids_forgotten = transactions.forgotten(),
+        ids_refused = transactions.refused(),
         list_event = feed.last_event(),
         list_age_ms = feed.age(state.invocations.now) / MILLISECOND,
         feed_losses = feed.losses(),
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -205,7 +205,7 @@
         trigger_names,
         tenant_names: config.tenant_names,
         budget,
-        clients: Clients::new(budget.client_bytes),
+        clients: Clients::new(&budget),
         feed: EndpointWatch::new(config.feed, config.known_events.0, now),
         wall_clock_history: RefCell::new(WallClockHistory::new(wall_clock(), now)),
         wall_clock,
--- a/crates/platform/src/limits.rs
+++ b/crates/platform/src/limits.rs
@@ -14,11 +14,14 @@
 const CLIENT_DATA_SHARE: u64 = 10;
 const INVOKER_CONNECTION_SHARE: u64 = 14;
 const RESPONSE_SHARE: u64 = 4;
+const RECENT_ID_SHARE: u64 = 1;
 
 /// Memory of a client's connection: its task, its state, and what was read and not decoded, in bytes.
 const CLIENT_CONNECTION_BYTES: u64 = 7 << 10;
 /// Memory of a connection to an invoker: its buffers, and the request on it, in bytes.
 const INVOKER_CONNECTION_BYTES: u64 = 20 << 10;
+/// Memory of an id in a list and in a set that may be half empty, in bytes.
+const RECENT_ID_BYTES: u64 = 48;
 /// Memory of an open request besides its body and its connection: its entries in the tables and its timers, in bytes.
 pub(crate) const OPEN_REQUEST_BYTES: usize = 3 << 10;
 
@@ -34,6 +37,8 @@
     pub client_bytes: usize,
     /// Total bytes of the responses of invokers that are being received.
     pub response_bytes: usize,
+    /// Ids of invocations that may have run and are not used again.
+    pub recent_ids: usize,
 }
 
 impl ResourceLimits {
@@ -56,6 +61,7 @@
             lines: (available - clients).min(lines_in_memory),
             client_bytes: share(CLIENT_DATA_SHARE) as usize,
             response_bytes: share(RESPONSE_SHARE) as usize,
+            recent_ids: (share(RECENT_ID_SHARE) / RECENT_ID_BYTES) as usize,
         }
     }
 }
--- a/crates/platform/src/limits/tests.rs
+++ b/crates/platform/src/limits/tests.rs
@@ -34,7 +34,9 @@
             let bounds = limits_of(f64::from(memory_mb), sockets);
             let connections = bounds.clients as u64 * CLIENT_CONNECTION_BYTES
                 + bounds.lines as u64 * INVOKER_CONNECTION_BYTES;
-            let sum = connections + (bounds.client_bytes + bounds.response_bytes) as u64;
+            let sum = connections
+                + (bounds.client_bytes + bounds.response_bytes) as u64
+                + bounds.recent_ids as u64 * RECENT_ID_BYTES;
             let memory = u64::from(memory_mb) << 20;
             assert!(sum <= memory * 5 / 8, "{memory_mb} MB: {sum} by {bounds:?}");
             assert!(
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -5,6 +5,7 @@
 mod closes;
 mod deadlines;
 mod degraded_peers;
+mod departed_clients;
 mod endpoint_list;
 mod hostile_clients;
 mod lost_connections;
