What was meant for one process is not sent to the next at its address

Seen by callers: work goes to a process that the decision module does not count it at, or over a connection to a process that has ended.

Cause: a request holds an address from its decision on, and nothing tied it to the process; the cutoff of rule 3 ended it only half the grace after the news, a new start time closed nothing.

Change: a pool marks the end of a process (gone, another address or start time, or another invoker at its address); what was not sent completely by then is not sent and is decided again, and idle connections are closed.

Evidence: three tests of replaced_processes.rs, in which the test plays whichever process listens at the address, fail before the change.

--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -188,7 +188,8 @@
             }
         }
         for _ in 0..PREPARATIONS_MAX {
-            if self.prepare(self.handle.clock.now()).is_none() {
+            let has_process = !self.send_deadline.process_ended.get();
+            if !has_process || self.prepare(self.handle.clock.now()).is_none() {
                 return AttemptEnd::Stale;
             }
             let end = match self.dial().await {
--- a/crates/platform/src/invoker_connection.rs
+++ b/crates/platform/src/invoker_connection.rs
@@ -49,6 +49,8 @@
     pub cutoff: Rc<Cell<Ticks>>,
     /// Until then the time limit that the request states, and the knowledge that its client still waits, are valid.
     pub stale_at: Ticks,
+    /// Whether the process for which the request is meant has ended: another one may have its address.
+    pub process_ended: Rc<Cell<bool>>,
 }
 
 impl Default for SendDeadline {
@@ -56,6 +58,7 @@
         Self {
             cutoff: Rc::new(Cell::new(Ticks::MAX)),
             stale_at: Ticks::MAX,
+            process_ended: Rc::default(),
         }
     }
 }
@@ -98,7 +101,8 @@
     /// still be dropped; the cutoff applies to its first byte only.
     fn may_send(&self) -> bool {
         let (now, send_deadline) = (self.clock.now(), self.send_deadline.borrow());
-        self.is_stale.set(now >= send_deadline.stale_at);
+        let is_stale = now >= send_deadline.stale_at || send_deadline.process_ended.get();
+        self.is_stale.set(is_stale);
         if self.has_begun_sending() {
             return !self.is_stale.get();
         }
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -62,6 +62,10 @@
     started: Option<(u64, Ticks)>,
     /// Incremented when open connections lead to another process; those in use are not reused then.
     epoch: u32,
+    /// Set when the process to which requests are sent now has ended.
+    process_ended: Rc<Cell<bool>>,
+    /// Another invoker has the address by now, so this one's process has ended.
+    is_displaced: bool,
     /// Idle connections, each with the time at which it became idle; the most recent is last.
     idle: Vec<(Ticks, InvokerConnection)>,
     /// Requests in flight.
@@ -86,7 +90,11 @@
             }
             RequestKind::Probe | RequestKind::Background => stale_base + REQUEST_STALENESS_LIMIT,
         };
-        SendDeadline { cutoff, stale_at }
+        SendDeadline {
+            cutoff,
+            stale_at,
+            process_ended: self.process_ended.clone(),
+        }
     }
 }
 
@@ -142,6 +150,8 @@
     kind: RequestKind,
     socket: Option<Rc<Socket>>,
     task: AbortHandle,
+    /// Whether the process for which it is meant has ended.
+    process_ended: Rc<Cell<bool>>,
 }
 
 impl PendingRequest {
@@ -149,10 +159,14 @@
         self.socket.as_ref()?.sent_at()
     }
 
+    /// Whether the request was sent completely.
+    fn is_sent_completely(&self) -> bool {
+        self.socket.as_ref().is_some_and(|s| s.sent_completely())
+    }
+
     /// Whether this is an attempt whose request was sent completely.
     fn is_at_invoker(&self) -> bool {
-        matches!(self.kind, RequestKind::Dispatch { .. })
-            && self.socket.as_ref().is_some_and(|s| s.sent_completely())
+        matches!(self.kind, RequestKind::Dispatch { .. }) && self.is_sent_completely()
     }
 }
 
@@ -174,6 +188,8 @@
     connection_idle_timeout: Ticks,
     trigger_names: Rc<[String]>,
     pools: BTreeMap<InvokerId, Pool>,
+    /// The invoker that was listed last at each address.
+    by_address: BTreeMap<SocketAddrV4, InvokerId>,
     requests: BTreeMap<u64, PendingRequest>,
     last_request: u64,
     /// Invokers that refused or closed connections, each with the time at which this was noticed, not yet reported to
@@ -203,6 +219,7 @@
             connection_idle_timeout,
             trigger_names,
             pools: BTreeMap::new(),
+            by_address: BTreeMap::new(),
             requests: BTreeMap::new(),
             last_request: 0,
             lost_connections: BTreeMap::new(),
@@ -259,6 +276,9 @@
         prepared: PreparedRequest,
     ) -> Result<u64, Outcome> {
         let pool = self.pools.get(&invoker).ok_or(Outcome::NoConnection)?;
+        if pool.is_displaced {
+            return Err(Outcome::NoConnection);
+        }
         if kind.is_new_work() && now >= pool.cutoff.get() {
             return Err(Outcome::NotSent);
         }
@@ -299,12 +319,14 @@
         let socket = connection
             .as_ref()
             .map(|connection| connection.socket.clone());
+        let process_ended = attempt.send_deadline.process_ended.clone();
         let task = spawn_request(&kind, attempt, connection);
         let request = PendingRequest {
             invoker,
             kind,
             socket,
             task,
+            process_ended,
         };
         self.requests.insert(self.last_request, request);
         Ok(self.last_request)
--- a/crates/platform/src/invoker_pools/idle_connections.rs
+++ b/crates/platform/src/invoker_pools/idle_connections.rs
@@ -25,6 +25,9 @@
         }
         self.pools
             .retain(|_, pool| pool.status != InvokerStatus::Gone || pool.active_requests > 0);
+        let pools = &self.pools;
+        self.by_address
+            .retain(|_, invoker| pools.contains_key(invoker));
     }
 
     /// Makes capacity for one more connection by closing the longest idle connection to any invoker.
--- a/crates/platform/src/invoker_pools/list_changes.rs
+++ b/crates/platform/src/invoker_pools/list_changes.rs
@@ -6,6 +6,8 @@
 use saltdrum_controller::AttemptReport;
 use saltdrum_platform_wire::feed::EndpointRecord;
 use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 /// Applies a complete list or an event to the pools and then to the policy, so that the policy's actions use the
@@ -20,7 +22,8 @@
     grace: Ticks,
 ) {
     let now = state.invocations.now;
-    let pools = &mut state.invocations.transport.pools;
+    let transport = &mut state.invocations.transport;
+    let pools = &mut transport.pools;
     let mut not_ready = Vec::new();
     if is_complete {
         for (invoker, pool) in pools.iter_mut() {
@@ -36,10 +39,19 @@
         if record.status == InvokerStatus::Gone && !pools.contains_key(&record.invoker) {
             continue;
         }
+        let is_new = !pools.contains_key(&record.invoker);
         let pool = pools
             .entry(record.invoker)
             .or_insert_with(|| Pool::new(record));
-        pool.apply(record, &start_time);
+        let is_new_process = pool.apply(record, &start_time) || is_new;
+        if is_new_process && record.status != InvokerStatus::Gone {
+            pool.is_displaced = false;
+            let previous = transport
+                .by_address
+                .insert(record.address, record.invoker)
+                .filter(|previous| *previous != record.invoker);
+            displace(pools, previous, record.address);
+        }
         if record.status != InvokerStatus::Ready {
             not_ready.push(record.invoker);
         }
@@ -53,12 +65,29 @@
         .map(|record| record.to_invoker_record(started_at(record)));
     let invokers: Vec<InvokerRecord> = invokers.collect();
     state.policy.invokers_changed(now, is_complete, &invokers);
+    end_requests(state, |request| {
+        request.process_ended.get() && !request.is_sent_completely()
+    });
     for invoker in not_ready {
         // Half the grace is reserved for the transit and for partially sent requests.
         set_cutoff(state, invoker, arrived_at + grace / 2);
     }
 }
 
+/// Records that another invoker has the address of `previous`: a process listens at it alone, so that of `previous` has
+/// ended, even if the list does not tell so yet.
+fn displace(
+    pools: &mut BTreeMap<InvokerId, Pool>,
+    previous: Option<InvokerId>,
+    address: SocketAddrV4,
+) {
+    let pool = previous.and_then(|invoker| pools.get_mut(&invoker));
+    if let Some(pool) = pool.filter(|pool| pool.address == address) {
+        pool.is_displaced = true;
+        pool.disconnect();
+    }
+}
+
 /// Sets the time from which no new work begins to be sent to an invoker.
 fn set_cutoff(state: &mut ControllerState, invoker: InvokerId, at: Ticks) {
     if let Some(pool) = state.invocations.transport.pools.get(&invoker) {
@@ -71,22 +100,24 @@
 /// At the cutoff of a pool, ends new work that has not begun to be sent.
 fn enforce_cutoff(state: &mut ControllerState, invoker: InvokerId) {
     let now = state.invocations.now;
-    let transport = &state.invocations.transport;
-    let pool = transport.pools.get(&invoker);
+    let pool = state.invocations.transport.pools.get(&invoker);
     if pool.is_none_or(|pool| now < pool.cutoff.get()) {
         return;
     }
-    let is_waiting = |request: &PendingRequest| {
+    end_requests(state, |request| {
         let socket = request.socket.as_ref();
         request.invoker == invoker && socket.is_none_or(|socket| !socket.has_begun_sending())
-    };
+    });
+}
+
+/// Ends the new work that `is_ended` selects, none of which was sent completely: it never ran.
+fn end_requests(state: &mut ControllerState, is_ended: impl Fn(&PendingRequest) -> bool) {
     let mut attempts = Vec::new();
     let mut orders = Vec::new();
-    for (order, request) in transport
-        .requests
-        .iter()
-        .filter(|(_, request)| is_waiting(request))
-    {
+    for (order, request) in &state.invocations.transport.requests {
+        if !is_ended(request) {
+            continue;
+        }
         match request.kind {
             RequestKind::Dispatch {
                 invocation,
@@ -94,7 +125,7 @@
             } => attempts.push((invocation, attempt)),
             RequestKind::Load {
                 is_new_work: true, ..
-            } => orders.push(*order),
+            } => orders.push((request.invoker, *order)),
             RequestKind::Load { .. } | RequestKind::Probe | RequestKind::Background => {}
         }
     }
@@ -106,7 +137,7 @@
             &AttemptReport::default(),
         );
     }
-    for order in orders {
+    for (invoker, order) in orders {
         state.load_ended(invoker, order, LoadOutcome::NotSent, 0);
     }
 }
@@ -119,20 +150,28 @@
             cutoff: Rc::new(Cell::new(Ticks::MAX)),
             started: None,
             epoch: 0,
+            process_ended: Rc::default(),
+            is_displaced: false,
             idle: Vec::new(),
             active_requests: 0,
             is_not_ready: false,
         }
     }
 
-    /// Closes idle connections, and prevents the reuse of those in use: they lead to another process, or to none.
+    /// Closes idle connections, and prevents the reuse of those in use, as the process to which they lead has ended. What
+    /// was not sent to it completely is not sent.
     fn disconnect(&mut self) {
         self.epoch += 1;
         self.idle.clear();
+        std::mem::take(&mut self.process_ended).set(true);
     }
 
-    fn apply(&mut self, record: &EndpointRecord, start_time: impl Fn(u64) -> Ticks) {
-        if self.address != record.address || record.status == InvokerStatus::Gone {
+    /// Applies a record. Returns whether it tells of another process than before.
+    fn apply(&mut self, record: &EndpointRecord, start_time: impl Fn(u64) -> Ticks) -> bool {
+        let known_start_ms = self.started.map(|(unix_ms, _)| unix_ms);
+        let has_restarted = record.started_ms.is_some() && record.started_ms != known_start_ms;
+        let is_new_process = self.address != record.address || has_restarted;
+        if is_new_process || record.status == InvokerStatus::Gone {
             self.disconnect();
         }
         self.address = record.address;
@@ -146,5 +185,6 @@
         if record.status == InvokerStatus::Ready {
             self.cutoff.set(Ticks::MAX);
         }
+        is_new_process
     }
 }
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -11,6 +11,7 @@
 mod lost_connections;
 mod partial_sends;
 mod races;
+mod replaced_processes;
 mod rules;
 mod socket_support;
 mod stalls;
