--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -5,7 +5,9 @@
 #![allow(dead_code)]
 
 pub mod bad_clients;
+pub mod greedy_clients;
 pub mod memory;
+pub mod spoiling_invokers;
 pub mod usual_clients;
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
