--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -6,11 +6,11 @@
 use node_peers::memory::MemoryWatch;
 use node_peers::usual_clients::{Answers, SUCCEEDED, answered_and_served, request, usual_client};
 use node_peers::{
-    ProcessGuard, configuration, connect, frame, free_address, node_command, request_frame_for,
-    request_frame_with_fields, start_feed, start_invoker_of, start_invoker_that_loads_one, write,
+    ProcessGuard, configuration, connect, frame, free_address, request_frame_for,
+    request_frame_with_fields, start_feed, start_invoker_of, start_invoker_that_loads_one,
+    start_node,
 };
 use serde_json::json;
-use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -48,9 +48,7 @@
         family["not_loaded"] = json!("load");
         family["load_window_ms"] = json!(0.0);
     }
-    let config = write(folder.path(), &settings.to_string());
-    let process = node_command(&config).stdout(Stdio::null()).spawn();
-    ProcessGuard(process.unwrap())
+    start_node(folder.path(), &settings)
 }
 
 /// Plays usual clients beside bad ones, of which each runs `bad_client` with its number and a function that tells when to
--- a/crates/cli/tests/greedy_clients.rs
+++ b/crates/cli/tests/greedy_clients.rs
@@ -7,11 +7,10 @@
 use node_peers::memory::MemoryWatch;
 use node_peers::usual_clients::{answered_and_served, beside_usual_clients};
 use node_peers::{
-    ProcessGuard, configuration, connect, free_address, node_command, raise_descriptor_limit,
-    start_feed, start_invoker_of, write,
+    configuration, connect, free_address, raise_descriptor_limit, start_feed, start_invoker_of,
+    start_node,
 };
 use serde_json::json;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 
@@ -43,9 +42,7 @@
     let (feed, _requests) = start_feed();
     let mut settings = configuration(&listen, &feed, &invoker);
     settings["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
-    let config = write(folder.path(), &settings.to_string());
-    let process = node_command(&config).stdout(Stdio::null()).spawn();
-    let process = ProcessGuard(process.unwrap());
+    let process = start_node(folder.path(), &settings);
     drop(connect(&listen));
     let watch = MemoryWatch::start(process.0.id());
     let answers = beside_usual_clients(&listen, USUAL_CLIENTS, KNOWN_FUNCTION, || {
--- a/crates/cli/tests/greedy_invokers.rs
+++ b/crates/cli/tests/greedy_invokers.rs
@@ -7,12 +7,8 @@
     Arrivals, SpoiltAnswer, chunked_answer, endless_head, start_spoiling_invoker, stated_answer,
 };
 use node_peers::usual_clients::{answered_and_served, beside_usual_clients};
-use node_peers::{
-    ProcessGuard, add_invoker, configuration, connect, free_address, node_command, start_feed,
-    write,
-};
+use node_peers::{add_invoker, configuration, connect, free_address, start_feed, start_node};
 use serde_json::json;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 
@@ -36,9 +32,7 @@
         add_invoker(&mut settings, number, &start_invoker());
     }
     settings["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
-    let config = write(folder.path(), &settings.to_string());
-    let process = node_command(&config).stdout(Stdio::null()).spawn();
-    let process = ProcessGuard(process.unwrap());
+    let process = start_node(folder.path(), &settings);
     drop(connect(&listen));
     let watch = MemoryWatch::start(process.0.id());
     let answers = beside_usual_clients(&listen, CLIENTS, FUNCTION, || thread::sleep(PLAY_TIME));
--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -5,12 +5,11 @@
 use node_peers::bad_clients::take_back_requests;
 use node_peers::memory::memory_mb;
 use node_peers::{
-    ProcessGuard, configuration, connect, free_address, node_command, read_frame, request_frame,
-    start_feed, start_invoker_of, start_invoker_that_loads_forever, write,
+    ProcessGuard, configuration, connect, free_address, read_frame, request_frame, start_feed,
+    start_invoker_of, start_invoker_that_loads_forever, start_node,
 };
 use serde_json::json;
 use std::io::Write;
-use std::process::Stdio;
 use std::time::Duration;
 
 /// The least memory that the platform gives a controller, in MB.
@@ -34,10 +33,8 @@
         let (listen, (feed, _requests)) = (free_address(), start_feed());
         let mut settings = configuration(&listen, &feed, invoker);
         settings["limits"]["memory_mb"] = json!(MEMORY_MB);
-        let config = write(folder.path(), &settings.to_string());
-        let process = node_command(&config).stdout(Stdio::null()).spawn();
         Self {
-            process: ProcessGuard(process.unwrap()),
+            process: start_node(folder.path(), &settings),
             listen,
             _folder: folder,
         }
--- a/crates/cli/tests/memory_soak.rs
+++ b/crates/cli/tests/memory_soak.rs
@@ -11,17 +11,18 @@
 use node_peers::spoiling_invokers::*;
 use node_peers::usual_clients::{answered_and_served, beside_usual_clients};
 use node_peers::{
-    ProcessGuard, add_invoker, configuration, connect, frame, free_address, node_command,
-    raise_descriptor_limit, request_frame_for, request_frame_with_fields, start_feed, write,
+    add_invoker, configuration, connect, frame, free_address, raise_descriptor_limit,
+    request_frame_for, request_frame_with_fields, soak_seeds, start_feed, start_node,
 };
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
+/// The seeds of a run in CI.
+const CI_SEEDS: &str = "1..73";
 /// Plays that run at the same time.
 const CONCURRENT_PLAYS: usize = 3;
 const USUAL_CLIENTS: u64 = 6;
@@ -198,9 +199,7 @@
     classes.push(unsafe_class);
     settings["limits"] =
         json!({"cores": 1.0, "memory_mb": play.memory_mb, "sockets": play.descriptors});
-    let config = write(folder.path(), &settings.to_string());
-    let command = node_command(&config).stdout(Stdio::null()).spawn();
-    let mut process = ProcessGuard(command.unwrap());
+    let mut process = start_node(folder.path(), &settings);
     drop(connect(&listen));
     let watch = MemoryWatch::start(process.0.id());
     let clients = play.clients_per_attack();
@@ -242,17 +241,11 @@
     wrong
 }
 
-fn seeds() -> Vec<u64> {
-    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..73".into());
-    let (from, to) = text.split_once("..").expect("SOAK_SEEDS=from..to");
-    (from.parse().unwrap()..to.parse().unwrap()).collect()
-}
-
 #[test]
 fn greedy_and_faulty_peers_of_many_kinds_stay_within_the_memory_limit() {
     raise_descriptor_limit();
     let mut failures = Vec::new();
-    for seeds in seeds().chunks(CONCURRENT_PLAYS) {
+    for seeds in soak_seeds(CI_SEEDS).chunks(CONCURRENT_PLAYS) {
         let plays: Vec<_> = seeds
             .iter()
             .map(|seed| {
--- a/crates/cli/tests/node_peers/mod.rs
+++ b/crates/cli/tests/node_peers/mod.rs
@@ -15,7 +15,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -40,6 +40,20 @@
     command
 }
 
+/// Starts `saltdrum node` with this configuration, which is written to a file in this folder.
+pub fn start_node(folder: &Path, configuration: &Value) -> ProcessGuard {
+    let config = write(folder, &configuration.to_string());
+    let process = node_command(&config).stdout(Stdio::null()).spawn();
+    ProcessGuard(process.unwrap())
+}
+
+/// The seeds that `SOAK_SEEDS` selects, as in `1..61`, or these.
+pub fn soak_seeds(default: &str) -> Vec<u64> {
+    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| default.into());
+    let (from, to) = text.split_once("..").expect("SOAK_SEEDS=from..to");
+    (from.parse().unwrap()..to.parse().unwrap()).collect()
+}
+
 /// Kills its process when dropped, also when the test fails.
 pub struct ProcessGuard(pub Child);
 
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -16,7 +16,7 @@
 use node_day::invoker::{Behavior, Status};
 use node_day::record::Record;
 use node_day::send_trace;
-use node_peers::{ProcessGuard, connect, free_address, node_command};
+use node_peers::{ProcessGuard, connect, free_address, node_command, soak_seeds};
 use rustix::process::Signal;
 use std::net::TcpStream;
 use std::path::Path;
@@ -215,18 +215,12 @@
     (record, code)
 }
 
-fn seeds() -> Vec<u64> {
-    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..17".into());
-    let (from, to) = text.split_once("..").expect("SOAK_SEEDS=from..to");
-    (from.parse().unwrap()..to.parse().unwrap()).collect()
-}
-
 #[test]
 fn rules_hold_in_random_scenarios() {
     let folder = tempfile::tempdir().unwrap();
     let library = preloaded::build_library(folder.path());
     let mut failures = Vec::new();
-    for seeds in seeds().chunks(CONCURRENT_SCENARIOS) {
+    for seeds in soak_seeds("1..17").chunks(CONCURRENT_SCENARIOS) {
         let scenarios: Vec<_> = seeds
             .iter()
             .map(|seed| {
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -26,6 +26,8 @@
 /// How much is read and answered, and how much is read and discarded after that, while a connection closes. If bytes
 /// are unread at the close, the kernel resets the connection, and a reset discards responses that are still in transit.
 const FINAL_READ_BYTES_MAX: usize = 1 << 20;
+/// Frames that are rejected at the end: many times what a client may have open. The rest of a flood is not read.
+const FINAL_FRAMES_MAX: usize = 1_024;
 const DISCARDED_BYTES_MAX: usize = 256 << 10;
 /// Frames of one client that are handled before other tasks run, and other clients have their turns.
 const FRAMES_PER_TURN: usize = 16;
@@ -226,10 +228,10 @@
 ) {
     // The event loop polls the kernel before this task continues.
     tokio::task::yield_now().await;
-    let mut total_bytes = 0;
-    while total_bytes < FINAL_READ_BYTES_MAX {
+    let (mut total_bytes, mut total_frames) = (0, 0);
+    while total_bytes < FINAL_READ_BYTES_MAX && total_frames < FINAL_FRAMES_MAX {
         let read_bytes = read.reader.read_available();
-        reject_frames(handle, client, read).await;
+        total_frames += reject_frames(handle, client, read).await;
         if read_bytes == 0 {
             return;
         }
@@ -237,8 +239,13 @@
     }
 }
 
-/// Rejects the requests in all complete frames that were read. A frame that is not complete is not held.
-async fn reject_frames(handle: &Rc<ControllerHandle>, client: &Rc<Client>, read: &mut FrameReader) {
+/// Rejects the requests in all complete frames that were read, and returns the number of these frames. A frame that is not
+/// complete is not held.
+async fn reject_frames(
+    handle: &Rc<ControllerHandle>,
+    client: &Rc<Client>,
+    read: &mut FrameReader,
+) -> usize {
     let mut handled = 0;
     while let Ok(Some(frame)) = read.next_frame() {
         client.last_active.set(Some(handle.clock.now()));
@@ -260,6 +267,7 @@
         }
     }
     read.skip_partial_frame();
+    handled
 }
 
 /// Closes the sending side, and waits until the client closes its side too: it has read everything then.
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -131,8 +131,8 @@
 
     /// Queues a frame. A client that does not read its responses is disconnected.
     pub fn send(&self, frame: bytes::Bytes, deadline: Ticks) {
-        let is_queued = self.outbox.push(frame, deadline).is_some();
-        if !is_queued || self.outbox.memory_bytes() > RESPONSE_QUEUE_BYTES_MAX {
+        let has_room = self.outbox.memory_bytes() < RESPONSE_QUEUE_BYTES_MAX;
+        if !has_room || self.outbox.push(frame, deadline).is_none() {
             self.request_close(CloseReason::AnswersUnread);
         }
         self.budget.check_bound();
