Tests: the client of a memory test connects after the flood

The test's client connected, said nothing for the 6.5 s of the flood, and was closed as any client that is silent for 2 s.

--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -59,9 +59,10 @@
 fn requests_for_unknown_functions_stay_within_the_memory_limit() {
     let invoker = start_invoker_of(KNOWN_FUNCTION, Duration::from_millis(20));
     let running = Running::start(&invoker);
-    let mut client = connect(&running.listen);
     running.flood(60, |txn| txn);
-    // A function that exists is served, though the controller sees it for the first time.
+    // A function that exists is served, though the controller sees it for the first time. A client that had connected
+    // before the flood would have been closed for its silence.
+    let mut client = connect(&running.listen);
     client.write_all(&request_frame(10, 1)).unwrap();
     let (kind, _, payload) = read_frame(&mut client);
     assert_eq!((kind, payload[0]), (RESPONSE, SUCCEEDED));
