One end for all kinds of requests to invokers, one way to open the tests' gate

The end of a dispatch, a load order, a probe and a background request stood four times (Attempt::finish). Background requests report lost connections with it, as the others do.

--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::invoker_connection::{InvokerConnection, InvokerResponse, ResponseLimit, SendDeadline};
 use crate::invoker_pools::report_lost_connections;
 use crate::memory_budget::MemoryHolder;
-use crate::state::ControllerHandle;
+use crate::state::{ControllerHandle, ControllerState};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -158,6 +158,20 @@
         Ok(connection)
     }
 
+    /// Removes the request, which has ended, and returns its connection to the pool for reuse. False: it was aborted before.
+    fn finish(&self, state: &mut ControllerState, connection: Option<InvokerConnection>) -> bool {
+        report_lost_connections(state);
+        let now = state.invocations.now;
+        let pools = &mut state.invocations.transport;
+        if !pools.finish(self.request_id) {
+            return false;
+        }
+        if let Some(connection) = connection {
+            pools.return_connection(now, self.invoker, self.epoch, connection);
+        }
+        true
+    }
+
     /// Records that the invoker refused or closed a connection of this request.
     fn note_lost_connection(&self) {
         self.handle.update(|state| {
@@ -275,7 +289,7 @@
     invocation: InvocationId,
     attempt_number: u8,
 ) {
-    let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
+    let invoker = attempt.invoker;
     let (mut report, mut body) = (AttemptReport::default(), None);
     let (outcome, connection) = match attempt
         .send(idle_connection, frames::OUTPUT_BYTES_MAX)
@@ -309,18 +323,9 @@
         }
     };
     attempt.handle.update(|state| {
-        report_lost_connections(state);
-        if !state.invocations.transport.finish(request_id) {
+        if !attempt.finish(state, connection) {
             return;
         }
-        if let Some(connection) = connection {
-            state.invocations.transport.return_connection(
-                state.invocations.now,
-                invoker,
-                epoch,
-                connection,
-            );
-        }
         state.attempt_ended(invocation, attempt_number, outcome, &report);
     });
     drop(body);
@@ -328,7 +333,7 @@
 
 /// Sends a load order, and reports how it ended.
 pub(crate) async fn run_load(attempt: Attempt, idle_connection: Option<InvokerConnection>) {
-    let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
+    let invoker = attempt.invoker;
     let (outcome, loaded_instances, connection) = match attempt
         .send(idle_connection, SMALL_RESPONSE_BYTES_MAX)
         .await
@@ -353,25 +358,16 @@
         }
     };
     attempt.handle.update(|state| {
-        report_lost_connections(state);
-        if !state.invocations.transport.finish(request_id) {
+        if !attempt.finish(state, connection) {
             return;
         }
-        if let Some(connection) = connection {
-            state.invocations.transport.return_connection(
-                state.invocations.now,
-                invoker,
-                epoch,
-                connection,
-            );
-        }
-        state.load_ended(invoker, request_id, outcome, loaded_instances);
+        state.load_ended(invoker, attempt.request_id, outcome, loaded_instances);
     });
 }
 
 /// Asks an invoker whether it accepts new work, and reports its response.
 pub(crate) async fn run_probe(attempt: Attempt, idle_connection: Option<InvokerConnection>) {
-    let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
+    let invoker = attempt.invoker;
     let started_at = attempt.handle.clock.now();
     let request = attempt.send(idle_connection, SMALL_RESPONSE_BYTES_MAX);
     let (outcome, connection) =
@@ -384,17 +380,14 @@
             Err(_) => (ProbeOutcome::TimedOut, None),
         };
     attempt.handle.update(|state| {
-        report_lost_connections(state);
         let now = state.invocations.now;
-        let pools = &mut state.invocations.transport;
-        let sent_at = pools.last_unsent_at(request_id).unwrap_or(started_at);
-        if !pools.finish(request_id) {
+        let transport = &state.invocations.transport;
+        let last_unsent_at = transport.last_unsent_at(attempt.request_id);
+        if !attempt.finish(state, connection) {
             return;
         }
-        if let Some(connection) = connection {
-            pools.return_connection(now, invoker, epoch, connection);
-        }
-        pools.log_readiness(invoker, outcome);
+        let sent_at = last_unsent_at.unwrap_or(started_at);
+        state.invocations.transport.log_readiness(invoker, outcome);
         state.probe_ended(ProbeResult {
             invoker,
             outcome,
@@ -409,17 +402,13 @@
     attempt: Attempt,
     idle_connection: Option<InvokerConnection>,
 ) {
-    let (invoker, epoch, request_id) = (attempt.invoker, attempt.epoch, attempt.request_id);
-    let end = tokio::time::timeout(
-        BACKGROUND_REQUEST_TIMEOUT,
-        attempt.send(idle_connection, SMALL_RESPONSE_BYTES_MAX),
-    )
-    .await;
+    let request = attempt.send(idle_connection, SMALL_RESPONSE_BYTES_MAX);
+    let connection = match tokio::time::timeout(BACKGROUND_REQUEST_TIMEOUT, request).await {
+        Ok(AttemptEnd::Responded(_, connection)) => Some(connection),
+        _ => None,
+    };
     attempt.handle.update(|state| {
-        let pools = &mut state.invocations.transport;
-        if let (true, Ok(AttemptEnd::Responded(_, connection))) = (pools.finish(request_id), end) {
-            pools.return_connection(state.invocations.now, invoker, epoch, connection);
-        }
+        attempt.finish(state, connection);
     });
 }
 
--- a/crates/platform/src/tests/races.rs
+++ b/crates/platform/src/tests/races.rs
@@ -371,8 +371,7 @@
                 Departure::Closes | Departure::Resets => drop(client),
             }
             wait_until(|| controller.in_flight() == 0).await;
-            controller.network.is_closed.set(false);
-            controller.network.opened.notify_waiters();
+            controller.network.open();
             assert_eq!(
                 controller
                     .handle
@@ -639,8 +638,7 @@
             Code::Throttled as u8,
             "the invocation never ran"
         );
-        controller.network.is_closed.set(false);
-        controller.network.opened.notify_waiters();
+        controller.network.open();
         client.write(
             &[
                 controller.new_call(4).0,
--- a/crates/platform/src/tests/replaced_processes.rs
+++ b/crates/platform/src/tests/replaced_processes.rs
@@ -61,8 +61,7 @@
             client.write(&controller.new_call(2).0);
             wait_until(|| controller.network.dial_count.get() > dials).await;
             tell(&controller, news);
-            controller.network.is_closed.set(false);
-            controller.network.opened.notify_waiters();
+            controller.network.open();
             // The test's policy rejects what never ran.
             let code = client.receive_frame().await.2[0];
             assert_eq!(code, Code::Throttled as u8, "{news:?}");
--- a/crates/platform/src/tests/socket_support.rs
+++ b/crates/platform/src/tests/socket_support.rs
@@ -31,6 +31,14 @@
 
 pub(crate) type NetworkFuture<'a, T> = Pin<Box<dyn Future<Output = std::io::Result<T>> + 'a>>;
 
+impl GatedNetwork {
+    /// Lets all dials through.
+    pub fn open(&self) {
+        self.is_closed.set(false);
+        self.opened.notify_waiters();
+    }
+}
+
 impl Network for GatedNetwork {
     fn dial<'a>(&'a self, address: &'a Address) -> NetworkFuture<'a, Stream> {
         Box::pin(async move {
--- a/crates/platform/src/tests/stalls.rs
+++ b/crates/platform/src/tests/stalls.rs
@@ -35,8 +35,7 @@
         wait_until(|| controller.network.dial_count.get() > dials).await;
         // A dial may take 250 ms here; the process is stopped for the remaining time.
         before_controller_tasks(stop_process).await;
-        controller.network.is_closed.set(false);
-        controller.network.opened.notify_waiters();
+        controller.network.open();
         let mut connection = controller.accept_connection().await;
         connection.receive_request().await;
         assert!(
@@ -80,8 +79,7 @@
         client.write(&controller.new_call(2).0);
         wait_until(|| controller.network.dial_count.get() > dials).await;
         before_controller_tasks(|| std::thread::sleep(Duration::from_millis(150))).await;
-        controller.network.is_closed.set(false);
-        controller.network.opened.notify_waiters();
+        controller.network.open();
         assert_eq!(
             client.receive_frame().await.1,
             2,
