Clients share the connections to invokers as they share memory

The attempts of one client may use as many connections as are left to the others, and the last eighth is for clients that use none. The budget of memory serves for both and has a name for both (shared_budget.rs). A turn has 4 frames: rounds of 88 to 213 ms were logged with 16.

--- a/crates/platform/src/admission.rs
+++ b/crates/platform/src/admission.rs
@@ -87,9 +87,16 @@
         return Ok(());
     };
     let traits = FunctionTraits::new(&request);
-    let backlog = arrival.backlog.clone();
+    let (backlog, lines) = (arrival.backlog.clone(), client.lines.clone());
     let transport = &state.invocations.transport;
-    let payload = transport.make_payload(resolved.trigger, transaction, request, backlog, memory);
+    let payload = transport.make_payload(
+        resolved.trigger,
+        transaction,
+        request,
+        backlog,
+        lines,
+        memory,
+    );
     let id = state.invocations.next_invocation_id();
     client.open_streams.borrow_mut().insert(stream, id);
     let invocation = to_policy_invocation(id, &resolved, &traits, arrival.earliest);
--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::descriptor_guard::DescriptorGuard;
 use crate::invoker_connection::{InvokerConnection, InvokerResponse, ResponseLimit, SendDeadline};
 use crate::invoker_pools::report_lost_connections;
-use crate::memory_budget::MemoryHolder;
+use crate::shared_budget::BudgetHolder;
 use crate::state::{ControllerHandle, ControllerState};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -76,7 +76,7 @@
     pub open_descriptors: Rc<Cell<usize>>,
     pub send_deadline: SendDeadline,
     /// What the response holds while it is received.
-    pub response_memory: Rc<MemoryHolder>,
+    pub response_memory: Rc<BudgetHolder>,
     pub prepared: PreparedRequest,
 }
 
--- a/crates/platform/src/client_connection.rs
+++ b/crates/platform/src/client_connection.rs
@@ -30,7 +30,7 @@
 const FINAL_FRAMES_MAX: usize = 1_024;
 const DISCARDED_BYTES_MAX: usize = 256 << 10;
 /// Frames of one client that are handled before other tasks run, and other clients have their turns.
-const FRAMES_PER_TURN: usize = 16;
+const FRAMES_PER_TURN: usize = 4;
 
 /// Why a connection ends.
 enum ConnectionEnd {
@@ -53,7 +53,7 @@
     let mut shutdown_output = output.clone();
     let clock = handle.clock;
     let clients = &handle.config.clients;
-    let client = Rc::new(Client::new(clock.now(), &clients.memory));
+    let client = Rc::new(Client::new(clock.now(), clients));
     let number = clients.insert(&client);
     let reader = ArrivalReader::opened_at(input, opened, clock, handle.event_loop.clone());
     let mut read = FrameReader::new(reader, &client.memory);
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -3,7 +3,7 @@
 //! malformed, flooding or silent client affects no other client.
 
 use crate::limits::ResourceLimits;
-use crate::memory_budget::{MemoryBudget, MemoryHolder};
+use crate::shared_budget::{BudgetHolder, PeerShare, SharedBudget};
 use crate::transaction_ids::TransactionIds;
 use saltdrum::interface::{InvocationId, MILLISECOND, SECOND, Ticks};
 use saltdrum_controller::{FinalResponse, Responder};
@@ -65,8 +65,10 @@
 pub(crate) struct Client {
     pub outbox: SendQueue,
     /// What it holds besides unread responses.
-    pub memory: Rc<MemoryHolder>,
-    budget: Rc<MemoryBudget>,
+    pub memory: Rc<BudgetHolder>,
+    /// The connections to invokers that its attempts use.
+    pub lines: Rc<BudgetHolder>,
+    budget: Rc<SharedBudget>,
     /// Streams whose response has not been sent yet.
     pub open_streams: RefCell<BTreeMap<u32, InvocationId>>,
     pub last_stream: Cell<u32>,
@@ -88,11 +90,13 @@
 }
 
 impl Client {
-    /// Creates the state of a connection that was accepted at `accepted_at`. What it holds is counted in `budget`.
-    pub fn new(accepted_at: Ticks, budget: &Rc<MemoryBudget>) -> Self {
+    /// Creates the state of a connection that was accepted at `accepted_at`. What it holds counts among all `clients` hold.
+    pub fn new(accepted_at: Ticks, clients: &Clients) -> Self {
+        let budget = &clients.memory;
         Self {
+            lines: BudgetHolder::new(clients.lines.clone()),
             outbox: SendQueue::counted_in(RESPONSE_QUEUE_BYTES_MAX, budget.queued()),
-            memory: MemoryHolder::new(budget.clone()),
+            memory: BudgetHolder::new(budget.clone()),
             budget: budget.clone(),
             open_streams: RefCell::default(),
             last_stream: Cell::new(0),
@@ -176,7 +180,9 @@
 /// All client connections of a controller, and the ids of their invocations in flight.
 pub(crate) struct Clients {
     /// What all clients may hold besides their connections.
-    pub(crate) memory: Rc<MemoryBudget>,
+    pub(crate) memory: Rc<SharedBudget>,
+    /// The connections to invokers that their attempts use.
+    pub(crate) lines: Rc<SharedBudget>,
     connections: RefCell<BTreeMap<u64, Rc<Client>>>,
     last_number: Cell<u64>,
     pub(crate) transactions: Rc<TransactionIds>,
@@ -199,7 +205,8 @@
     /// Creates an empty table with the bounds on what clients hold.
     pub fn new(budget: &ResourceLimits) -> Self {
         Self {
-            memory: MemoryBudget::new(budget.client_bytes),
+            memory: SharedBudget::new(budget.client_bytes, PeerShare::Ninth),
+            lines: SharedBudget::new(budget.lines, PeerShare::Half),
             connections: RefCell::default(),
             last_number: Cell::default(),
             transactions: TransactionIds::new(budget.recent_ids),
--- a/crates/platform/src/frame_reader.rs
+++ b/crates/platform/src/frame_reader.rs
@@ -1,7 +1,7 @@
 //! Reads the frames of one client within the memory that the client may hold. A frame for which there is no memory is
 //! skipped: its bytes are discarded as they arrive.
 
-use crate::memory_budget::{MemoryHolder, Purpose, Reservation};
+use crate::shared_budget::{BudgetHolder, Purpose, Reservation};
 use saltdrum_platform_wire::Malformed;
 use saltdrum_platform_wire::frames::{self, ClientFrame, FrameHead, FrameKind};
 use saltdrum_transport::{ArrivalReader, StreamHalf};
@@ -35,7 +35,7 @@
 
 impl FrameReader {
     /// Creates a reader whose partial frames are counted for `memory`.
-    pub fn new(reader: ArrivalReader<StreamHalf>, memory: &Rc<MemoryHolder>) -> Self {
+    pub fn new(reader: ArrivalReader<StreamHalf>, memory: &Rc<BudgetHolder>) -> Self {
         Self {
             reader: reader.limited_to(CLIENT_READ_BYTES),
             partial: memory.empty_reservation(Purpose::Partial),
--- a/crates/platform/src/invoker_connection.rs
+++ b/crates/platform/src/invoker_connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an invoker: HTTP/1.1 with hyper, over a stream that counts the bytes sent.
 
-use crate::memory_budget::MemoryHolder;
 use crate::response_body::{ReceivedBody, receive_body};
+use crate::shared_budget::BudgetHolder;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -234,7 +234,7 @@
     /// Longest body.
     pub max_bytes: usize,
     /// The memory in which it is received.
-    pub memory: &'a Rc<MemoryHolder>,
+    pub memory: &'a Rc<BudgetHolder>,
 }
 
 impl InvokerResponse {
--- a/crates/platform/src/invoker_pools.rs
+++ b/crates/platform/src/invoker_pools.rs
@@ -7,7 +7,7 @@
 use crate::descriptor_guard::DescriptorGuard;
 use crate::invoker_connection::{InvokerConnection, SendDeadline, Socket};
 use crate::limits::ResourceLimits;
-use crate::memory_budget::{MemoryBudget, MemoryHolder, Reservation};
+use crate::shared_budget::{BudgetHolder, PeerShare, Reservation, SharedBudget};
 use crate::state::ControllerHandle;
 use crate::transaction_ids::TransactionId;
 use bytes::Bytes;
@@ -43,6 +43,8 @@
     client_backlog: ReadBacklog,
     /// Total bytes of all bodies in memory.
     held_bytes: Rc<Cell<usize>>,
+    /// The connections to invokers that its client's attempts use.
+    client_lines: Rc<BudgetHolder>,
     _memory: Reservation,
 }
 
@@ -152,6 +154,8 @@
     task: AbortHandle,
     /// Whether the process for which it is meant has ended.
     process_ended: Rc<Cell<bool>>,
+    /// The connection that an attempt uses, among those of its client.
+    _client_line: Option<Reservation>,
 }
 
 impl PendingRequest {
@@ -201,7 +205,7 @@
     open_connections: Rc<Cell<usize>>,
     held_bytes: Rc<Cell<usize>>,
     /// What the responses that are being received hold.
-    pub(crate) response_memory: Rc<MemoryBudget>,
+    pub(crate) response_memory: Rc<SharedBudget>,
 }
 
 impl InvokerPools {
@@ -226,7 +230,7 @@
             load_sent_times: BTreeMap::new(),
             open_connections: Rc::default(),
             held_bytes: Rc::default(),
-            response_memory: MemoryBudget::new(budget.response_bytes),
+            response_memory: SharedBudget::new(budget.response_bytes, PeerShare::Ninth),
         }
     }
 
@@ -242,6 +246,7 @@
         transaction: TransactionId,
         request: frames::Request,
         client_backlog: ReadBacklog,
+        client_lines: Rc<BudgetHolder>,
         memory: Reservation,
     ) -> Payload {
         let held_bytes = self.held_bytes.clone();
@@ -253,6 +258,7 @@
             body: request.body,
             client_backlog,
             held_bytes,
+            client_lines,
             _memory: memory,
         }
     }
@@ -274,6 +280,7 @@
         invoker: InvokerId,
         kind: RequestKind,
         prepared: PreparedRequest,
+        client_line: Option<Reservation>,
     ) -> Result<u64, Outcome> {
         let pool = self.pools.get(&invoker).ok_or(Outcome::NoConnection)?;
         if pool.is_displaced {
@@ -313,7 +320,7 @@
             ),
             open_descriptors: self.open_connections.clone(),
             send_deadline,
-            response_memory: MemoryHolder::new(self.response_memory.clone()),
+            response_memory: BudgetHolder::new(self.response_memory.clone()),
             prepared,
         };
         let socket = connection
@@ -327,6 +334,7 @@
             socket,
             task,
             process_ended,
+            _client_line: client_line,
         };
         self.requests.insert(self.last_request, request);
         Ok(self.last_request)
--- a/crates/platform/src/invoker_pools/transport.rs
+++ b/crates/platform/src/invoker_pools/transport.rs
@@ -9,6 +9,7 @@
 use saltdrum::interface::*;
 use saltdrum_controller::{AttemptReport, InvokerTransport, OutgoingDispatch};
 use saltdrum_platform_wire::http;
+use tracing::debug;
 
 use super::{InvokerPools, Payload, PendingRequest, RequestKind};
 
@@ -45,6 +46,13 @@
 
     fn dispatch(&mut self, outgoing: &OutgoingDispatch<Payload>) -> Result<u64, Outcome> {
         let payload = outgoing.payload;
+        let Some(line) = payload.client_lines.reserve(1) else {
+            debug!(
+                txn = format_args!("{:016x}", payload.transaction.id()),
+                "client uses its share of connections"
+            );
+            return Err(Outcome::NotSent);
+        };
         let trigger_name = &self.trigger_names[payload.trigger];
         let request = build_dispatch_request(payload, trigger_name, outgoing.function)?;
         let prepared = PreparedRequest {
@@ -60,7 +68,7 @@
             invocation: outgoing.invocation,
             attempt: outgoing.attempt,
         };
-        self.start(outgoing.now, outgoing.invoker, kind, prepared)
+        self.start(outgoing.now, outgoing.invoker, kind, prepared, Some(line))
     }
 
     fn withdraw(&mut self, _: InvokerId, dispatch: u64) -> bool {
@@ -115,11 +123,17 @@
             is_new_work,
             send_by,
         };
-        self.start(now, invoker, kind, PreparedRequest::without_client(request))
-            .map_err(|outcome| match outcome {
-                Outcome::NoConnection => LoadOutcome::Unreachable,
-                _ => LoadOutcome::NotSent,
-            })
+        self.start(
+            now,
+            invoker,
+            kind,
+            PreparedRequest::without_client(request),
+            None,
+        )
+        .map_err(|outcome| match outcome {
+            Outcome::NoConnection => LoadOutcome::Unreachable,
+            _ => LoadOutcome::NotSent,
+        })
     }
 
     fn load_sent_at(&self, order: u64) -> Option<Ticks> {
@@ -144,6 +158,7 @@
                 invoker,
                 RequestKind::Background,
                 PreparedRequest::without_client(request),
+                None,
             );
         }
     }
@@ -156,7 +171,7 @@
             .map_err(|_| ProbeOutcome::NotSent)?;
         self.log_list_out_of_date(now);
         let prepared = PreparedRequest::without_client(request);
-        let started = self.start(now, invoker, RequestKind::Probe, prepared);
+        let started = self.start(now, invoker, RequestKind::Probe, prepared, None);
         started.map(|_| ()).map_err(|outcome| match outcome {
             Outcome::NoConnection => ProbeOutcome::Unreachable,
             _ => ProbeOutcome::NotSent,
--- a/crates/platform/src/response_body.rs
+++ b/crates/platform/src/response_body.rs
@@ -1,7 +1,7 @@
 //! Receives the body of an invoker's response within the memory that all responses may hold together. A faulty response
 //! may be said to be huge, never end, or come in very many small pieces.
 
-use crate::memory_budget::{MemoryHolder, Purpose, Reservation};
+use crate::shared_budget::{BudgetHolder, Purpose, Reservation};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -31,7 +31,7 @@
 pub(crate) async fn receive_body(
     mut body: Incoming,
     max_bytes: usize,
-    holder: &Rc<MemoryHolder>,
+    holder: &Rc<BudgetHolder>,
 ) -> Result<ReceivedBody, BodyError> {
     let stated_bytes = body.size_hint().lower();
     if stated_bytes > max_bytes as u64 {
--- a/crates/platform/src/memory_budget.rs
+++ b/crates/platform/src/shared_budget.rs
@@ -1,7 +1,7 @@
-//! Bounds the memory that peers make the controller hold.
+//! Bounds what peers make the controller hold together: bytes of memory, or connections.
 //!
 //! Every peer holds within its share of what is free: the more one holds, and the less is free, the less it may add (the
-//! dynamic threshold of Choudhury and Hahne for shared buffers, 1998). So a few peers may hold much while memory is free,
+//! dynamic threshold of Choudhury and Hahne for shared buffers, 1998). So a few peers may hold much while much is free,
 //! and many greedy ones can't use it up. What is of no use yet, as it was received in part, leaves room for what is
 //! complete, and the last part is for peers that hold nothing.
 
@@ -10,15 +10,31 @@
 use tokio::sync::Notify;
 use tracing::warn;
 
-/// A peer may hold at most the free bytes divided by this.
-const SHARE_DIVISOR: usize = 8;
-
 /// Partial data may use the bound divided by this.
 const PARTIAL_DIVISOR: usize = 2;
 /// The bound divided by this is left to peers that hold nothing.
 const RESERVE_DIVISOR: usize = 8;
 
-/// What memory is reserved for.
+/// How much of what is free one peer may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerShare {
+    /// As much as is left to the others.
+    Half,
+    /// An eighth of what is left to the others.
+    Ninth,
+}
+
+impl PeerShare {
+    /// What a peer may hold while `free` is free.
+    fn of(self, free: usize) -> usize {
+        match self {
+            Self::Half => free,
+            Self::Ninth => free / 8,
+        }
+    }
+}
+
+/// What is reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Purpose {
     /// Data that was received in part, and is of no use before the rest arrives.
@@ -27,26 +43,28 @@
     InUse,
 }
 
-/// Memory that is shared by the peers of one kind, with its bound.
-pub(crate) struct MemoryBudget {
-    max_bytes: usize,
-    /// Bytes that are reserved.
+/// What the peers of one kind share, with its bound.
+pub(crate) struct SharedBudget {
+    max: usize,
+    share: PeerShare,
+    /// How much is reserved.
     reserved: Cell<usize>,
     /// Bytes in queues to peers, which are counted by the queues.
     queued: Rc<Cell<usize>>,
     /// Reservations that were refused, and holders that were ended, because the bound was met.
     refused: Cell<u64>,
     ended: Cell<u64>,
-    /// The counts of both at the last call of [`MemoryBudget::log_bound_met`].
+    /// The counts of both at the last call of [`SharedBudget::log_bound_met`].
     logged: Cell<(u64, u64)>,
     exceeded: Notify,
 }
 
-impl MemoryBudget {
-    /// Creates a budget of `max_bytes`, of which none are reserved.
-    pub fn new(max_bytes: usize) -> Rc<Self> {
+impl SharedBudget {
+    /// Creates a budget of `max`, of which nothing is reserved.
+    pub fn new(max: usize, share: PeerShare) -> Rc<Self> {
         Rc::new(Self {
-            max_bytes,
+            max,
+            share,
             reserved: Cell::new(0),
             queued: Rc::default(),
             refused: Cell::new(0),
@@ -61,8 +79,8 @@
         self.queued.clone()
     }
 
-    /// Bytes that are held: reserved or in queues.
-    pub fn used_bytes(&self) -> usize {
+    /// How much is held: reserved or in queues.
+    pub fn used(&self) -> usize {
         self.reserved.get() + self.queued.get()
     }
 
@@ -93,7 +111,7 @@
         if counts != (refused, ended) {
             warn!(
                 peers,
-                max_bytes = self.max_bytes,
+                max_bytes = self.max,
                 refused = counts.0 - refused,
                 closed = counts.1 - ended,
                 "memory limit of peers reached"
@@ -103,10 +121,10 @@
 
     /// Whether more is held than the bound.
     pub fn is_exceeded(&self) -> bool {
-        self.used_bytes() > self.max_bytes
+        self.used() > self.max
     }
 
-    /// Wakes [`MemoryBudget::wait_until_exceeded`] if the bound is exceeded, after bytes were added to a queue.
+    /// Wakes [`SharedBudget::wait_until_exceeded`] if the bound is exceeded, after bytes were added to a queue.
     pub fn check_bound(&self) {
         if self.is_exceeded() {
             self.exceeded.notify_one();
@@ -118,39 +136,36 @@
         self.exceeded.notified().await;
     }
 
-    /// Whether a holder of `held_bytes` may add `bytes`.
-    fn may_add(&self, held_bytes: usize, bytes: usize, purpose: Purpose) -> bool {
-        let used_bytes = self.used_bytes() + bytes;
-        let free_bytes = self.max_bytes.saturating_sub(self.used_bytes());
-        let is_within_share = held_bytes + bytes <= free_bytes / SHARE_DIVISOR;
+    /// Whether a peer that holds `held` may add `added`.
+    fn may_add(&self, held: usize, added: usize, purpose: Purpose) -> bool {
+        let used = self.used() + added;
+        let free = self.max.saturating_sub(self.used());
+        let is_within_share = held + added <= self.share.of(free);
         match purpose {
-            Purpose::Partial => used_bytes <= self.max_bytes / PARTIAL_DIVISOR && is_within_share,
-            Purpose::InUse if held_bytes == 0 => used_bytes <= self.max_bytes,
-            Purpose::InUse => {
-                let reserve_bytes = self.max_bytes / RESERVE_DIVISOR;
-                used_bytes + reserve_bytes <= self.max_bytes && is_within_share
-            }
+            Purpose::Partial => used <= self.max / PARTIAL_DIVISOR && is_within_share,
+            Purpose::InUse if held == 0 => used <= self.max,
+            Purpose::InUse => used + self.max / RESERVE_DIVISOR <= self.max && is_within_share,
         }
     }
 }
 
 /// What one peer holds of a budget.
-pub(crate) struct MemoryHolder {
-    budget: Rc<MemoryBudget>,
+pub(crate) struct BudgetHolder {
+    budget: Rc<SharedBudget>,
     held: Cell<usize>,
 }
 
-impl MemoryHolder {
+impl BudgetHolder {
     /// Creates a holder of nothing.
-    pub fn new(budget: Rc<MemoryBudget>) -> Rc<Self> {
+    pub fn new(budget: Rc<SharedBudget>) -> Rc<Self> {
         let held = Cell::new(0);
         Rc::new(Self { budget, held })
     }
 
-    /// Reserves bytes for data in use, if the peer may hold them.
-    pub fn reserve(self: &Rc<Self>, bytes: usize) -> Option<Reservation> {
+    /// Reserves an amount that is in use, if the peer may hold it.
+    pub fn reserve(self: &Rc<Self>, amount: usize) -> Option<Reservation> {
         let mut reservation = self.empty_reservation(Purpose::InUse);
-        reservation.resize(bytes).then_some(reservation)
+        reservation.resize(amount).then_some(reservation)
     }
 
     /// Reserves nothing, to be resized later.
@@ -158,52 +173,56 @@
         Reservation {
             holder: self.clone(),
             purpose,
-            bytes: 0,
+            amount: 0,
         }
     }
 
-    fn add(&self, bytes: usize) {
-        self.held.set(self.held.get() + bytes);
-        self.budget.reserved.set(self.budget.reserved.get() + bytes);
+    fn add(&self, amount: usize) {
+        self.held.set(self.held.get() + amount);
+        self.budget
+            .reserved
+            .set(self.budget.reserved.get() + amount);
     }
 
-    fn remove(&self, bytes: usize) {
-        self.held.set(self.held.get() - bytes);
-        self.budget.reserved.set(self.budget.reserved.get() - bytes);
+    fn remove(&self, amount: usize) {
+        self.held.set(self.held.get() - amount);
+        self.budget
+            .reserved
+            .set(self.budget.reserved.get() - amount);
     }
 }
 
-/// Reserved bytes, which are free again when this is dropped.
+/// A reserved amount, which is free again when this is dropped.
 pub(crate) struct Reservation {
-    holder: Rc<MemoryHolder>,
+    holder: Rc<BudgetHolder>,
     purpose: Purpose,
-    bytes: usize,
+    amount: usize,
 }
 
 impl Reservation {
-    /// Changes the number of reserved bytes. False: the peer may not hold as many, and nothing changes.
-    pub fn resize(&mut self, bytes: usize) -> bool {
+    /// Changes the reserved amount. False: the peer may not hold as much, and nothing changes.
+    pub fn resize(&mut self, amount: usize) -> bool {
         let holder = &self.holder;
-        if let Some(added_bytes) = bytes.checked_sub(self.bytes).filter(|added| *added > 0) {
+        if let Some(added) = amount.checked_sub(self.amount).filter(|added| *added > 0) {
             if !holder
                 .budget
-                .may_add(holder.held.get(), added_bytes, self.purpose)
+                .may_add(holder.held.get(), added, self.purpose)
             {
                 holder.budget.refused.set(holder.budget.refused.get() + 1);
                 return false;
             }
-            holder.add(added_bytes);
+            holder.add(added);
         } else {
-            holder.remove(self.bytes - bytes);
+            holder.remove(self.amount - amount);
         }
-        self.bytes = bytes;
+        self.amount = amount;
         true
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.holder.remove(self.bytes);
+        self.holder.remove(self.amount);
     }
 }
 
--- a/crates/platform/src/tests/bounds.rs
+++ b/crates/platform/src/tests/bounds.rs
@@ -2,7 +2,7 @@
 
 use super::support::*;
 use crate::lifecycle::shut_down;
-use crate::memory_budget::MemoryHolder;
+use crate::shared_budget::BudgetHolder;
 use saltdrum::interface::*;
 use saltdrum_controller::dispatch_policy;
 use saltdrum_fakes::platform::{Call, ResponseFault, ServerFrame, endpoint_record};
@@ -186,11 +186,11 @@
         let controller = TestController::new(dispatch_policy, &[1], 256).await;
         let memory = controller.handle.config.clients.memory.clone();
         let holders: Vec<_> = (0..100)
-            .map(|_| MemoryHolder::new(memory.clone()))
+            .map(|_| BudgetHolder::new(memory.clone()))
             .collect();
         let reserve = |_| holders.iter().find_map(|holder| holder.reserve(100 << 10));
         let reservations: Vec<_> = (0..100).map_while(reserve).collect();
-        let used_before = memory.used_bytes();
+        let used_before = memory.used();
         let mut client = controller.connect_client().await;
         let large = Call {
             body: vec![7; 16 << 10],
@@ -200,7 +200,7 @@
         let (first, rest) = frame.split_at(12_000);
         client.stream.write_all(first).await.unwrap();
         sleep_ms(10).await;
-        assert_eq!(memory.used_bytes(), used_before);
+        assert_eq!(memory.used(), used_before);
         assert!(memory.refused() > 0);
         client.stream.write_all(rest).await.unwrap();
         assert_eq!(
@@ -214,7 +214,7 @@
             expect_response(&mut client).await.code,
             Code::Succeeded as u8
         );
-        assert_eq!(memory.used_bytes(), 0);
+        assert_eq!(memory.used(), 0);
     });
 }
 
--- a/crates/platform/src/tests/partial_sends.rs
+++ b/crates/platform/src/tests/partial_sends.rs
@@ -2,7 +2,7 @@
 
 use super::support::{run_test, sleep_ms};
 use crate::invoker_connection::{InvokerConnection, ResponseLimit, SendDeadline};
-use crate::memory_budget::{MemoryBudget, MemoryHolder};
+use crate::shared_budget::{BudgetHolder, PeerShare, SharedBudget};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -92,7 +92,7 @@
         let request = request.body(Full::<Bytes>::default()).unwrap();
         let limit = ResponseLimit {
             max_bytes: RESPONSE_BYTES_MAX,
-            memory: &MemoryHolder::new(MemoryBudget::new(RESPONSE_BYTES_MAX)),
+            memory: &BudgetHolder::new(SharedBudget::new(RESPONSE_BYTES_MAX, PeerShare::Ninth)),
         };
         drop(connection.request(request, 0, deadline, limit).await);
     });
