Attempts are not held for a client that never pauses

Seen by callers: beside clients that send under new names without a pause, a third of the requests of usual clients are refused at once though the invokers are idle.

Cause: an attempt waits until its client's stream has been read to its end, and counts as sent meanwhile; such a client has no end, and the decision module took the silence (57 out, none on a socket) for an invoker that does not respond and ejected it for all.

--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -203,7 +203,9 @@
         }
         for _ in 0..PREPARATIONS_MAX {
             let has_process = !self.send_deadline.process_ended.get();
-            if !has_process || self.prepare(self.handle.clock.now()).is_none() {
+            let client = self.prepared.client.as_ref();
+            let is_endless = client.is_some_and(|client| client.backlog.is_endless());
+            if !has_process || is_endless || self.prepare(self.handle.clock.now()).is_none() {
                 return AttemptEnd::Stale;
             }
             let end = match self.dial().await {
@@ -224,7 +226,9 @@
         mut connection: InvokerConnection,
         max_response_bytes: usize,
     ) -> AttemptEnd {
-        self.wait_for_readers().await;
+        if !self.wait_for_readers().await {
+            return AttemptEnd::Stale;
+        }
         let Some((request, send_deadline)) = self.prepare(self.handle.clock.now()) else {
             return AttemptEnd::Stale;
         };
@@ -252,16 +256,30 @@
 
     /// Waits until all data that had arrived from the client and the endpoint feed before the staleness limit has been
     /// read. After a stop, a process handles expired timers, departed clients and draining invokers in any order.
-    async fn wait_for_readers(&self) {
+    ///
+    /// False: the client sends as fast as it is read, so that whether it still waits can't be known. Its attempts must not
+    /// count as sent meanwhile: the decision module would take their invoker for unresponsive.
+    async fn wait_for_readers(&self) -> bool {
         while self.handle.event_loop.last_polled() + REQUEST_STALENESS_LIMIT
             <= self.handle.clock.now()
         {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        let client = self.prepared.client.as_ref().map(|client| &client.backlog);
-        while self.handle.config.feed.is_behind() || client.is_some_and(ReadBacklog::has_unread) {
+        while self.handle.config.feed.is_behind() {
             tokio::task::yield_now().await;
         }
+        let Some(client) = self.prepared.client.as_ref() else {
+            return true;
+        };
+        let wait_ends_at = self.handle.clock.now() + REQUEST_STALENESS_LIMIT;
+        while client.backlog.has_unread() {
+            if self.handle.clock.now() >= wait_ends_at {
+                client.backlog.set_endless();
+                return false;
+            }
+            tokio::task::yield_now().await;
+        }
+        true
     }
 
     /// Completes the request for sending at `now`; none: its client's deadline or its send deadline has passed.
--- a/crates/platform/src/invoker_pools/transport.rs
+++ b/crates/platform/src/invoker_pools/transport.rs
@@ -46,6 +46,9 @@
 
     fn dispatch(&mut self, outgoing: &OutgoingDispatch<Payload>) -> Result<u64, Outcome> {
         let payload = outgoing.payload;
+        if payload.client_backlog.is_endless() {
+            return Err(Outcome::NotSent);
+        }
         let Some(line) = payload.client_lines.reserve(1) else {
             debug!(
                 txn = format_args!("{:016x}", payload.transaction.id()),
--- a/crates/platform/src/tests/departed_clients.rs
+++ b/crates/platform/src/tests/departed_clients.rs
@@ -1,7 +1,11 @@
 //! Clients that leave with requests unread or in flight, and ids that come again. Uses loopback sockets, as in `races`.
 
 use super::socket_support::*;
+use saltdrum::interface::SECOND;
 use saltdrum_platform_wire::frames::{self, Code};
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// How a client leaves.
 #[derive(Clone, Copy, Debug)]
@@ -140,3 +144,44 @@
         });
     }
 }
+
+/// Guards against attempts that wait for as long as their client sends without a pause: they counted as sent, so that the
+/// decision module took the invoker for unresponsive, and refused the requests of others.
+#[test]
+fn attempts_of_a_client_that_never_pauses_are_given_up() {
+    run_test(|| async {
+        let controller = TestController::new().await;
+        let client = controller.connect_client();
+        let mut frames = controller.new_call(1).0;
+        (2..=20_000).for_each(|stream| frames.extend(frames::encode_empty(32, stream)));
+        let is_ended = Arc::<AtomicBool>::default();
+        let (mut stream, ended) = (client.stream.try_clone().unwrap(), is_ended.clone());
+        let sending = std::thread::spawn(move || {
+            let queries = frames::encode_empty(32, 0).repeat(1_000);
+            let mut bytes = &frames[..];
+            while !ended.load(Ordering::Relaxed) {
+                let sent = stream.write(bytes).unwrap_or(0);
+                bytes = &bytes[sent..];
+                if bytes.is_empty() {
+                    bytes = &queries;
+                }
+                // What it is sent is read, and not looked at.
+                let _ = stream.read(&mut [0; 64 << 10]);
+            }
+        });
+        let accepted = || {
+            controller
+                .handle
+                .inspect(|s| s.invocations.counters.accepted)
+        };
+        wait_until(|| accepted() == 1).await;
+        let admitted_at = controller.handle.clock.now();
+        wait_until(|| controller.in_flight() == 0).await;
+        let waited = controller.handle.clock.now() - admitted_at;
+        is_ended.store(true, Ordering::Relaxed);
+        sending.join().unwrap();
+        // The client waits for 2.5 s.
+        assert!(waited < SECOND, "given up after {waited} ticks");
+        assert!(controller.received_nothing());
+    });
+}
--- a/crates/transport/src/arrival_clock.rs
+++ b/crates/transport/src/arrival_clock.rs
@@ -78,6 +78,7 @@
 #[derive(Clone)]
 pub struct ReadBacklog {
     is_unread: Rc<Cell<bool>>,
+    is_endless: Rc<Cell<bool>>,
     waker: Option<Arc<ArrivalWaker>>,
 }
 
@@ -86,10 +87,21 @@
     pub fn empty() -> Self {
         Self {
             is_unread: Rc::default(),
+            is_endless: Rc::default(),
             waker: None,
         }
     }
 
+    /// Records that the source had unread data for too long, because data arrives as fast as it is read.
+    pub fn set_endless(&self) {
+        self.is_endless.set(true);
+    }
+
+    /// Whether the source had unread data for too long, and was not found empty since.
+    pub fn is_endless(&self) -> bool {
+        self.is_endless.get()
+    }
+
     /// Whether there may be unread data: true from the readiness event until a poll finds the source empty.
     pub fn has_unread(&self) -> bool {
         self.is_unread.get() || self.waker.as_ref().is_some_and(|waker| waker.is_woken())
@@ -101,6 +113,8 @@
     arrival_waker: Arc<ArrivalWaker>,
     waker: Waker,
     is_unread: Rc<Cell<bool>>,
+    /// Set by a [`ReadBacklog`], until the source is found empty.
+    is_endless: Rc<Cell<bool>>,
     /// When the source was last known to be empty.
     empty_at: Ticks,
     /// Whether the last poll found the source empty, so that its reader waits.
@@ -123,6 +137,7 @@
             arrival_waker,
             waker,
             is_unread: Rc::default(),
+            is_endless: Rc::default(),
             empty_at: opened_at,
             is_waiting: false,
             earliest_arrival: opened_at,
@@ -156,6 +171,7 @@
                 };
                 (self.empty_at, self.is_waiting) = (self.empty_at.max(empty_at), true);
                 self.is_unread.set(false);
+                self.is_endless.set(false);
             }
             return Poll::Pending;
         }
@@ -184,6 +200,7 @@
     pub fn backlog(&self) -> ReadBacklog {
         ReadBacklog {
             is_unread: self.is_unread.clone(),
+            is_endless: self.is_endless.clone(),
             waker: Some(self.arrival_waker.clone()),
         }
     }
