The memory limit of clients counts a partly written answer when it closes one

Cause: the client to be closed at the bound was sought among those with whole answers in their queue, so clients whose only unread answer was written in part were overlooked, and the bound stayed exceeded until they were idle for 6 s.

Change: it is sought by the memory of its answers.

Measured: client_with_a_partly_written_response_is_closed_at_the_memory_limit fails without it (1 client left where 0 is expected). Failed tries of the test: it reused a connection; it took the close for being idle for the one asked for.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -232,7 +232,7 @@
         let connections = self.connections.borrow();
         let holders = connections
             .values()
-            .filter(|c| !c.must_close_now.get() && c.outbox.queued_bytes() > 0);
+            .filter(|c| !c.must_close_now.get() && c.outbox.memory_bytes() > 0);
         let Some(largest) = holders.max_by_key(|c| c.outbox.memory_bytes()) else {
             return false;
         };
--- a/crates/platform/src/tests/races.rs
+++ b/crates/platform/src/tests/races.rs
@@ -53,6 +53,38 @@
     });
 }
 
+/// Guards against overlooking a client that holds a response of which a part was written, and nothing behind it.
+#[test]
+fn client_with_a_partly_written_response_is_closed_at_the_memory_limit() {
+    run_test(|| async {
+        let controller = TestController::new().await;
+        let mut client = controller.connect_client();
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 32_768).unwrap();
+        let memory = controller.handle.config.clients.memory.clone();
+        let mut stream = 1;
+        // Unread responses, until one was written in part.
+        while memory.queued_bytes() == 0 {
+            client.write(&controller.new_call(stream).0);
+            stream += 1;
+            let mut connection = controller.accept_connection().await;
+            connection.receive_request().await;
+            connection.write(&http_response(&"x".repeat(150_000)));
+            wait_until(|| controller.in_flight() == 0).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(!controller.handle.config.clients.have_pending_output());
+        let held_by_others = controller.handle.config.budget.client_bytes;
+        memory.queued().set(memory.queued_bytes() + held_by_others);
+        memory.check_bound();
+        // Long before it would be closed for being idle.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(controller.client_count(), 0);
+        assert_eq!(memory.queued_bytes(), held_by_others);
+    });
+}
+
 /// Guards against reporting that a client has left only after its remaining responses were sent: a client that does not
 /// read delays this by 300 ms, longer than the time within which attempts may still be sent for it.
 #[test]
