An invoker that comes back to its address gets work again

Cause: an invoker whose address another one had, and that went and came back unchanged before its last request had ended, stayed marked as displaced: every dispatch to it ended as no connection, for good.

Change: what comes back after it has gone is another process.

Measured: invoker_that_comes_back_to_its_address_gets_work_again timed out before (20 s).

--- a/crates/platform/src/invoker_pools/list_changes.rs
+++ b/crates/platform/src/invoker_pools/list_changes.rs
@@ -170,7 +170,8 @@
     fn apply(&mut self, record: &EndpointRecord, start_time: impl Fn(u64) -> Ticks) -> bool {
         let known_start_ms = self.started.map(|(unix_ms, _)| unix_ms);
         let has_restarted = record.started_ms.is_some() && record.started_ms != known_start_ms;
-        let is_new_process = self.address != record.address || has_restarted;
+        let was_gone = self.status == InvokerStatus::Gone;
+        let is_new_process = was_gone || self.address != record.address || has_restarted;
         if is_new_process || record.status == InvokerStatus::Gone {
             self.disconnect();
         }
--- a/crates/platform/src/tests/replaced_processes.rs
+++ b/crates/platform/src/tests/replaced_processes.rs
@@ -111,3 +111,34 @@
         assert!(controller.received_nothing());
     });
 }
+
+/// Guards against an invoker that gets no work for good: it went while another one had its address, and came back.
+#[test]
+fn invoker_that_comes_back_to_its_address_gets_work_again() {
+    run_test(|| async {
+        let controller = TestController::new().await;
+        let mut client = controller.connect_active_client().await;
+        // A request in flight keeps the invoker's connections known after it has gone.
+        client.write(&controller.new_call(2).0);
+        let mut first = controller.accept_connection().await;
+        first.receive_request().await;
+        tell(&controller, News::NewAtSameAddress);
+        let SocketAddr::V4(address) = controller.invoker.local_addr().unwrap() else {
+            panic!("IPv4 is expected")
+        };
+        let record = |invoker, status| endpoint_record(invoker, address, status, None);
+        let handle = &controller.handle;
+        let gone = vec![
+            record(OLD_INVOKER, InvokerStatus::Gone),
+            record(NEW_INVOKER, InvokerStatus::Gone),
+        ];
+        let back = vec![record(OLD_INVOKER, InvokerStatus::Ready)];
+        for (number, records) in [(3, gone), (4, back)] {
+            handle_event(handle, handle.clock.now(), number, &Event::Changes(records)).unwrap();
+        }
+        let (call, txn) = controller.new_call(3);
+        client.write(&call);
+        let mut second = controller.accept_connection().await;
+        assert_eq!(second.receive_request().await, txn);
+    });
+}
